--- /dev/null
+++ b/brain/api.go
@@ -0,0 +1,257 @@
+// Package brain decides, for one balancer node, where long-lived connections
+// go. It is a pure state machine: events in, actions out, with no I/O, no
+// clock and no goroutines. This file is its whole interface.
+package brain
+
+import "time"
+
+// ServerID and RequestID are opaque names given by the outside.
+type (
+	ServerID  string
+	RequestID string
+)
+
+// Effect says how safely a request of a class may be repeated.
+type Effect uint8
+
+// The effects a class can have.
+const (
+	Safe   Effect = iota // may be repeated without restriction
+	Keyed                // repeats are dropped by a group of servers for a time
+	Unsafe               // must not run twice
+)
+
+// Scope names the servers that drop repeats of a keyed request.
+type Scope uint8
+
+// The scopes of a keyed class.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is one kind of request.
+type Class struct {
+	SetupAim   time.Duration // wanted time until the connection stands
+	Deadline   time.Duration // a client's whole patience
+	MessageAim time.Duration // wanted time of a message; 0 where unknown
+	Worth      float64
+	Effect     Effect
+	Scope      Scope         // keyed only
+	Window     time.Duration // keyed only: how long repeats are dropped
+}
+
+// Settings is what a node is told at its start.
+type Settings struct {
+	Seed      uint64
+	Index     int // this node among its peers
+	GroupSize int // how many nodes there are
+	Zone      int
+	Classes   []Class
+	Tenants   []Tenant
+	Groups    bool // connections of one group share work on a server
+	Pass      bool // packets pass through: arrivals may be mid-flow
+	AskList   bool // the server list answers only when asked
+
+	MaxAttempts   int // 0 for no limit
+	MayCancel     bool
+	MayProbe      bool
+	MayTell       bool
+	RetryAfter    bool // clients are told when to come back
+	MaxRetryAfter time.Duration
+
+	DrainGrace   time.Duration // nothing new to a draining server after it
+	ColdShare    float64       // a started server's first share of capacity
+	WarmWithin   time.Duration // by when it has all of it
+	FallMultiple float64       // work over present capacity that breaks it
+	FallWindow   time.Duration // when it lasts this long
+	AskWithin    time.Duration // longest time between questions to the list
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	Connections float64 // open connections over all nodes within its share; 0 where unknown
+}
+
+// ServerState is what the list says of a server.
+type ServerState uint8
+
+// The states in the server list.
+const (
+	Live ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID     ServerID
+	Zone   int
+	Cell   int
+	State  ServerState
+	Weight float64       // listed size against others'
+	Since  time.Duration // clock time of its last start; 0 for long ago
+}
+
+// Event is one thing that happened to the node.
+type Event interface{ event() }
+
+// ListKind says how a list event is to be read.
+type ListKind uint8
+
+// The kinds of list events.
+const (
+	ListChange ListKind = iota // changed entries only
+	ListFull                   // the complete list
+	ListCached                 // the complete list as last held, maybe old
+	ListFailed                 // a question failed or the watch broke
+)
+
+// The events.
+type (
+	// ListEvent carries news of the servers.
+	ListEvent struct {
+		Kind    ListKind
+		Version int64
+		Servers []Server
+	}
+	// Arrival is a new request, owed exactly one final answer.
+	Arrival struct {
+		ID      RequestID
+		Class   int
+		Tenant  int
+		Key     string // the client
+		Group   string // the client's group, "" for none
+		Left    time.Duration
+		Load    float64 // expected load, 0 where unknown
+		Retry   bool
+		MidFlow bool // packets of a connection open elsewhere
+		Again   bool // back after a break or a move
+	}
+	// Inherited is a connection open through this node at its start.
+	Inherited struct {
+		Arrival
+		Server ServerID
+	}
+	// Timer is a Wake that has fallen due.
+	Timer struct{ Token string }
+	// Opened says that the connection stands.
+	Opened struct {
+		ID      RequestID
+		Attempt int
+		Server  ServerID
+		Took    time.Duration
+	}
+	// Settled says how an attempt ended.
+	Settled struct {
+		ID      RequestID
+		Attempt int
+		Server  ServerID
+		Took    time.Duration
+		Outcome Outcome
+		Final   bool // the request is concluded, now or before
+	}
+	// Probed is the result of a Probe. Excess is load over capacity, -1 where not reported.
+	Probed struct {
+		Server  ServerID
+		Outcome Outcome
+		Took    time.Duration
+		Excess  float64
+	}
+	// LoadNote gives the load of an open connection, in work a second.
+	LoadNote struct {
+		ID   RequestID
+		Load float64
+	}
+	// SlowNote gives the time a message takes at a connection's server.
+	SlowNote struct {
+		ID      RequestID
+		Message time.Duration
+	}
+	// PeerMessage comes from another node.
+	PeerMessage struct {
+		From int
+		Data []byte
+	}
+	// ClientGone ends a request: nothing more is owed for it.
+	ClientGone struct{ ID RequestID }
+)
+
+func (ListEvent) event()   {}
+func (Arrival) event()     {}
+func (Inherited) event()   {}
+func (Timer) event()       {}
+func (Opened) event()      {}
+func (Settled) event()     {}
+func (Probed) event()      {}
+func (LoadNote) event()    {}
+func (SlowNote) event()    {}
+func (PeerMessage) event() {}
+func (ClientGone) event()  {}
+
+// Outcome is the end of an attempt or a probe.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served Outcome = iota
+	Errored
+	Full        // turned away unseen
+	NoAnswer    // nothing came in time
+	NoConnect   // no connection in time
+	Reset       // the connection broke
+	Cancelled   // withdrawn, or the client left
+	NeverPassed // not sent at all
+)
+
+// ProvesUnrun reports whether the outcome proves that the attempt never ran.
+func (o Outcome) ProvesUnrun() bool { return o == Full || o == NoConnect || o == NeverPassed }
+
+// Action is one thing the node is to do. Actions are carried out in order.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Send starts an attempt; attempts of a request count from 0.
+	Send struct {
+		ID      RequestID
+		Server  ServerID
+		Timeout time.Duration
+	}
+	// Refuse is a final answer: trying again is harmless.
+	Refuse struct {
+		ID         RequestID
+		RetryAfter time.Duration // 0 for no advice
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID RequestID }
+	// Cancel withdraws an attempt.
+	Cancel struct {
+		ID      RequestID
+		Attempt int
+	}
+	// Move asks the client of an open connection to come again.
+	Move struct{ ID RequestID }
+	// Probe examines a server.
+	Probe struct{ Server ServerID }
+	// Wake asks for a Timer event at a time.
+	Wake struct {
+		At    time.Duration
+		Token string
+	}
+	// Watch asks the server list for changes from now on.
+	Watch struct{}
+	// Log adds a line to the node's log.
+	Log struct{ Text string }
+)
+
+func (Send) action()   {}
+func (Refuse) action() {}
+func (Fail) action()   {}
+func (Cancel) action() {}
+func (Move) action()   {}
+func (Probe) action()  {}
+func (Wake) action()   {}
+func (Watch) action()  {}
+func (Log) action()    {}
--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,533 @@
+// The interface of this package, its settings, events and actions, is in api.go. The decisions stand
+// in brain.go (requests, placement, events), fleet.go (what is known of servers) and table.go.
+
+package brain
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// skipFactor is the design's: a server over this multiple of the mean is skipped.
+	skipFactor = 1.5
+	// skipFloor is the least number of own connections at which a server can be skipped.
+	skipFloor = 2
+	// groupSpread is over how many table entries one group's clients are hashed. Servers pay for
+	// each group they hold, so few; more than one, so that a large group splits evenly.
+	groupSpread = 2
+	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
+	paceOff = 16
+	// sweepEvery is the pace of housekeeping.
+	sweepToken = "sweep"
+	pumpToken  = "pump"
+	sweepEvery = 200 * time.Millisecond
+)
+
+// attempt is one send of a request.
+type attempt struct {
+	to   *server
+	at   time.Duration
+	out  bool // no outcome yet
+	safe bool // its outcome proves that it never ran
+}
+
+// request is one client's connection, wanted or open.
+type request struct {
+	Arrival
+	deadline time.Duration
+	attempts []attempt
+	conn     *server // where it stands
+	at       time.Duration
+	load     float64
+	answered bool // has had its final answer
+}
+
+// Brain decides for one node.
+type Brain struct {
+	set     Settings
+	now     time.Duration
+	out     []Action
+	rng     *rand.Rand
+	aim     time.Duration // shortest message aim
+	table   table
+	servers map[ServerID]*server
+	reqs    map[RequestID]*request
+	walks   uint64
+
+	load, usable float64 // summed by weigh
+	trusting     bool    // too much is suspect: suspicion is set aside
+	unit         float64 // mean load of a connection, 0 while no note has come
+	means        []float64
+	rate         float64 // connections placed a second
+	placed       float64
+	secondAt     time.Duration
+
+	gap, nextSend time.Duration // least time between paced sends, 0 for none
+	cutAt, pumpAt time.Duration
+	queue         []*request // wait for their turn
+	erred         *server    // gave the last error
+
+	sweeping          bool
+	asking, watching  bool
+	askedAt, askNotBy time.Duration
+	backoff           time.Duration
+}
+
+// New starts a node that knows only its settings.
+func New(s Settings) *Brain {
+	b := &Brain{set: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
+	b.means = make([]float64, len(s.Classes))
+	for _, c := range s.Classes {
+		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
+			b.aim = c.MessageAim
+		}
+	}
+	return b
+}
+
+// Handle takes one event at a time and returns the actions, valid until the next call.
+func (b *Brain) Handle(now time.Duration, ev Event) []Action {
+	b.now, b.out = now, b.out[:0]
+	if !b.sweeping {
+		b.sweeping, b.secondAt = true, now
+		b.askNotBy = now + b.jitter(b.set.AskWithin/20)
+		b.emit(Wake{now + sweepEvery, sweepToken})
+	}
+	switch e := ev.(type) {
+	case ListEvent:
+		b.listed(e)
+	case Arrival:
+		b.arrive(e)
+	case Inherited:
+		b.inherit(e)
+	case Opened:
+		b.opened(e)
+	case Settled:
+		b.settled(e)
+	case LoadNote:
+		if r := b.reqs[e.ID]; r != nil && r.conn != nil {
+			b.loaded(r, e.Load)
+		}
+	case SlowNote:
+		if r := b.reqs[e.ID]; r != nil && r.conn != nil {
+			b.slow(r.conn, e.Message)
+			b.relieve(r.conn, e.Message)
+		}
+	case ClientGone:
+		if r := b.reqs[e.ID]; r != nil {
+			b.end(r)
+		}
+	case Timer:
+		if e.Token == sweepToken {
+			b.sweep()
+		}
+		b.pump()
+	}
+	return b.out
+}
+
+func (b *Brain) emit(a Action)   { b.out = append(b.out, a) }
+func (b *Brain) log(text string) { b.emit(Log{text}) }
+
+func (b *Brain) jitter(span time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(span))
+}
+
+// arrive takes a request in and places it at once.
+func (b *Brain) arrive(e Arrival) {
+	if b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
+		return
+	}
+	r := &request{Arrival: e, deadline: b.now + e.Left}
+	r.load = b.expected(r)
+	b.reqs[e.ID] = r
+	b.try(r)
+}
+
+func (b *Brain) inherit(e Inherited) {
+	s := b.servers[e.Server]
+	if s == nil || b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
+		return
+	}
+	r := &request{Arrival: e.Arrival, conn: s, at: b.now, answered: true}
+	r.load = b.expected(r)
+	r.attempts = []attempt{{to: s, at: b.now, out: true}}
+	b.reqs[e.ID] = r
+	b.take(s, r)
+	s.open++
+}
+
+// expected is the load to reckon with until a note tells more.
+func (b *Brain) expected(r *request) float64 {
+	switch m := b.means[r.Class]; {
+	case m > 0:
+		return m
+	case b.unit > 0:
+		return b.unit
+	}
+	return 1
+}
+
+func (b *Brain) take(s *server, r *request) {
+	s.conns++
+	s.load += r.load
+	if r.Group != "" {
+		s.groups[r.Group]++
+	}
+}
+
+func (b *Brain) drop(s *server, r *request) {
+	s.conns--
+	if s.load -= r.load; s.conns == 0 {
+		s.load = 0 // no drift from rounding
+	}
+	if r.Group != "" {
+		if s.groups[r.Group]--; s.groups[r.Group] <= 0 {
+			delete(s.groups, r.Group)
+		}
+	}
+	b.forget(s)
+}
+
+// loaded takes in a connection's load now. The first note sets the unit that all loads without a
+// note are reckoned in.
+func (b *Brain) loaded(r *request, load float64) {
+	if load < 0 {
+		return
+	}
+	if b.unit == 0 && load > 0 {
+		b.unit = load
+		for _, s := range b.servers {
+			s.load = float64(s.conns) * load
+		}
+		for _, q := range b.reqs {
+			q.load = load
+		}
+	}
+	r.conn.load += load - r.load
+	r.load = load
+	if m := &b.means[r.Class]; *m == 0 {
+		*m = load
+	} else {
+		*m += 0.05 * (load - *m)
+	}
+	b.unit += 0.02 * (load - b.unit)
+}
+
+// try sends a request to the next server, lets it wait its turn where set-ups are paced, or gives it
+// up at once.
+func (b *Brain) try(r *request) {
+	left := r.deadline - b.now
+	if r.MidFlow && len(r.attempts) == 0 || b.gap == 0 {
+		b.send(r, left)
+		return
+	}
+	wait := max(b.nextSend-b.now, 0) + b.gap*time.Duration(len(b.queue))
+	if wait > left/2 { // its turn would come too late for the attempt itself
+		b.giveUp(r, wait)
+		return
+	}
+	b.queue = append(b.queue, r)
+	b.pump()
+}
+
+// pump sends what has waited its turn.
+func (b *Brain) pump() {
+	for len(b.queue) > 0 && b.now >= b.nextSend {
+		r := b.queue[0]
+		b.queue = b.queue[1:]
+		if !r.answered {
+			b.nextSend = b.now + b.gap
+			b.send(r, r.deadline-b.now)
+		}
+	}
+	if len(b.queue) > 0 && b.pumpAt <= b.now {
+		b.pumpAt = max(b.nextSend, b.now+time.Millisecond)
+		b.emit(Wake{b.pumpAt, pumpToken})
+	}
+}
+
+// shared takes in the end of a set-up. Errors from one server after another come from what they all
+// call to set a connection up; sending on at once, when clients return in a wave, keeps that jammed.
+// So the time between sends grows by half with the errors, once for all that was sent before, and
+// shrinks with each success until it no longer matters.
+func (b *Brain) shared(a *attempt, ok bool) {
+	usual := time.Duration(float64(time.Second) / max(b.rate, 1))
+	switch {
+	case a.at < b.cutAt:
+	case !ok && b.gap == 0:
+		b.gap, b.cutAt = usual/2, b.now
+		b.log("set-ups fail at several servers: paced")
+	case !ok:
+		b.gap, b.cutAt = min(b.gap*3/2, usual), b.now
+	case b.gap > 0:
+		b.gap = b.gap * 9 / 10
+		if b.gap < usual/paceOff && len(b.queue) == 0 {
+			b.gap = 0
+			b.log("set-ups are well: no longer paced")
+		}
+	}
+}
+
+func (b *Brain) send(r *request, left time.Duration) {
+	var s *server
+	if left > 0 && (b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts) {
+		s = b.place(r)
+	}
+	if s == nil {
+		b.giveUp(r, b.set.Classes[r.Class].SetupAim)
+		return
+	}
+	if aim := b.set.Classes[r.Class].SetupAim; aim > 0 && aim < left {
+		left = aim // a hung server says nothing: leave time for another
+	}
+	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
+	r.at = b.now
+	b.take(s, r)
+	s.pending++
+	if b.coldness(s) < 1 {
+		s.tokens--
+	}
+	b.emit(Send{r.ID, s.id, left})
+}
+
+// slot is the request's place in the table: the hash of its client key. Where connections of a group
+// share work, the group picks the place and the key one of groupSpread entries from there.
+func (b *Brain) slot(r *request) int {
+	n := uint64(len(b.table.first))
+	if b.set.Groups && r.Group != "" {
+		return int((xxhash.Sum64String(r.Group) + xxhash.Sum64String(r.Key)%groupSpread) % n)
+	}
+	return int(xxhash.Sum64String(r.Key) % n)
+}
+
+// place picks the server: the first hop, or the second for a mid-flow arrival while the entry
+// changes; where that one is barred, the walk goes on to the next entry that names another server.
+func (b *Brain) place(r *request) *server {
+	if len(b.table.first) == 0 {
+		return nil
+	}
+	b.table.progress(b.now, b.set.DrainGrace, b.oldest())
+	b.weigh()
+	at := b.slot(r)
+	first, second := b.table.hops(at)
+	if r.MidFlow && len(r.attempts) == 0 {
+		// The connection stands where the table put it, however loaded that server is.
+		for _, s := range []*server{second, first} {
+			if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+				return s
+			}
+		}
+	}
+	b.walks++
+	var best *server
+	var rank, value float64
+	for i, left := 0, len(b.table.holders); i < len(b.table.first) && left > 0; i++ {
+		s := b.table.first[(at+i)%len(b.table.first)]
+		if s == nil || s.visited == b.walks {
+			continue
+		}
+		s.visited = b.walks
+		left--
+		if !b.allowed(r, s) || !b.affords(s) {
+			continue
+		}
+		k, v := 2.0, 0.0 // the next entry that names another server
+		switch {
+		case b.shunned(s) && !b.trusting:
+			k, v = 4, s.suspect.Seconds()
+		case b.over(s, r.load):
+			k, v = 3, s.load/b.carries(s)
+		case i == 0:
+			return s
+		case s.groups[r.Group] > 0:
+			k = 1 // a skipped connection goes where its group is paid for already
+		}
+		if best == nil || k < rank || k == rank && v < value {
+			best, rank, value = s, k, v
+		}
+	}
+	return best
+}
+
+// oldest is when the oldest connection that still stands was sent, asked only while a fill runs.
+func (b *Brain) oldest() time.Duration {
+	if b.table.changing == 0 {
+		return 0
+	}
+	old := b.now + 1
+	for _, r := range b.reqs {
+		if r.conn != nil {
+			old = min(old, r.at)
+		}
+	}
+	return old
+}
+
+// allowed reports whether rule and record permit another attempt at s: one that may have run is
+// repeated only as far as the class is proved safe, and no server is tried twice.
+func (b *Brain) allowed(r *request, s *server) bool {
+	c := &b.set.Classes[r.Class]
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.out || a.to == s {
+			return false
+		}
+		if a.safe || c.Effect == Safe {
+			continue
+		}
+		if c.Effect == Unsafe || b.now-a.at >= c.Window ||
+			c.Scope == ScopeZone && s.zone != a.to.zone || c.Scope == ScopeCell && s.cell != a.to.cell {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp answers at once: refused where that is known to be harmless, else failed.
+func (b *Brain) giveUp(r *request, wait time.Duration) {
+	c := &b.set.Classes[r.Class]
+	harmless := true
+	for i := range r.attempts {
+		harmless = harmless && (r.attempts[i].safe || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll)
+	}
+	if harmless {
+		var pause time.Duration
+		if b.set.RetryAfter {
+			pause = min(wait, b.set.MaxRetryAfter)
+		}
+		b.emit(Refuse{r.ID, pause})
+	} else {
+		b.emit(Fail{r.ID})
+	}
+	b.end(r)
+}
+
+// end marks a request as answered and frees it once no attempt of it is out.
+func (b *Brain) end(r *request) {
+	r.answered = true
+	for i := range r.attempts {
+		if r.attempts[i].out {
+			if r.conn == nil && b.set.MayCancel {
+				b.emit(Cancel{r.ID, i})
+			}
+			return
+		}
+	}
+	delete(b.reqs, r.ID)
+}
+
+func (b *Brain) opened(e Opened) {
+	r := b.reqs[e.ID]
+	if r == nil || r.conn != nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
+		return
+	}
+	s := r.attempts[e.Attempt].to
+	r.conn = s
+	b.placed++
+	b.shared(&r.attempts[e.Attempt], true)
+	s.pending--
+	s.open++
+	b.well(s)
+}
+
+func (b *Brain) settled(e Settled) {
+	r := b.reqs[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].out {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.out, a.safe = false, e.Outcome.ProvesUnrun()
+	s := a.to
+	stood := r.conn != nil
+	if stood {
+		s.open--
+	} else {
+		s.pending--
+	}
+	aim := b.set.Classes[r.Class].SetupAim
+	switch e.Outcome {
+	case Served:
+		b.well(s)
+	case NoConnect:
+		b.strike(s, 2*aim, true)
+	case NoAnswer:
+		if e.Took >= aim {
+			b.strike(s, 2*aim, false)
+		}
+	case Full:
+		b.strike(s, aim, false)
+	case Errored:
+		b.shared(a, false)
+		if s == b.erred { // twice in a row the same one: its own fault
+			b.strike(s, aim, false)
+		}
+		b.erred = s
+	case Reset:
+		if !stood {
+			b.strike(s, aim, false)
+		} else {
+			b.slow(s, 2*b.aim) // dropped for its crowd, or about to refuse connections
+		}
+	}
+	b.drop(s, r)
+	if r.conn = nil; stood || e.Final || r.answered {
+		r.answered = true
+		b.end(r)
+		return
+	}
+	b.try(r)
+}
+
+// relieve moves connections off a server on which messages come too late, a few at a time, and only
+// while others have room.
+func (b *Brain) relieve(s *server, message time.Duration) {
+	if message <= b.aim || b.now < s.nextMv {
+		return
+	}
+	b.weigh()
+	if b.usable <= 0 || !b.over(s, 0) {
+		return
+	}
+	s.nextMv = b.now + time.Second
+	var on []*request
+	for _, r := range b.reqs {
+		if r.conn == s && !r.answered {
+			on = append(on, r)
+		}
+	}
+	slices.SortFunc(on, func(x, y *request) int { return cmp.Or(cmp.Compare(y.load, x.load), cmp.Compare(x.ID, y.ID)) })
+	for _, r := range on[:min(len(on), max(1, len(on)/10))] {
+		b.emit(Move{r.ID})
+		b.end(r)
+	}
+}
+
+// sweep is the housekeeping: the table's changes, the rate, and the questions to the list.
+func (b *Brain) sweep() {
+	b.emit(Wake{b.now + sweepEvery, sweepToken})
+	b.second()
+	b.table.progress(b.now, b.set.DrainGrace, b.oldest())
+	if !b.set.AskList {
+		return
+	}
+	if b.asking && b.set.AskWithin > 0 && b.now > b.askedAt+b.set.AskWithin {
+		b.asking = false // the answer is lost
+	}
+	if !b.watching && !b.asking && b.now >= b.askNotBy {
+		b.asking, b.askedAt = true, b.now
+		b.emit(Watch{})
+	}
+}
+
+// listFailed backs off with jitter, doubling, well within the time by which a node must have asked.
+func (b *Brain) listFailed() {
+	b.asking, b.watching = false, false
+	b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4)
+	b.askNotBy = b.now + b.backoff/2 + b.jitter(b.backoff)
+}
--- /dev/null
+++ b/brain/fleet.go
@@ -0,0 +1,254 @@
+package brain
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// server is what this node knows of one listed server, all of it from its own traffic and its list.
+type server struct {
+	id         ServerID
+	hash       uint64
+	zone, cell int
+	weight     float64
+	since      time.Duration
+
+	state     nodeState
+	parity    int
+	changedAt time.Duration // when it began to drain or fill
+
+	conns   int            // open connections and attempts under way
+	load    float64        // their summed load
+	open    int            // connections that stand
+	groups  map[string]int // of each group, how many of them
+	pending int            // attempts under way
+
+	strikes   int           // failures since the last success
+	suspect   time.Duration // skipped until then
+	probation bool          // one attempt at a time until one succeeds
+	refused   bool          // the last failure was a failed connect: a restart may hide behind it
+
+	pace   float64       // share of its listed weight that it is seen to carry, 1 when well
+	slowAt time.Duration // time of the last news on pace
+	nextMv time.Duration // not moved off before then
+
+	tokens  float64 // cold budget left, in loads
+	refill  time.Duration
+	visited uint64 // stamp of the walk that last met it
+}
+
+const (
+	// coldMargin is the part of the rule's budget that is used: the rest is for chance in the
+	// loads drawn and for the error of judging capacity by what equal servers carry.
+	coldMargin = 0.5
+	// ejectable is the share of the fleet's weight that suspicion may shut out at once. Past it
+	// the evidence says more of the network or of the wave than of the servers.
+	ejectable = 0.5
+	// paceFloor keeps a slow server in sight: at this share it still gets a connection now and
+	// then, whose notes tell when it is well again.
+	paceFloor = 0.1
+	// rateSmooth is the part of one second's count that moves the known rate of connections.
+	rateSmooth = 0.1
+)
+
+// listed takes in the server list: removals and drains first, then fills, both in id order, so that
+// every node that is told of a version changes its table alike.
+func (b *Brain) listed(e ListEvent) {
+	if e.Kind == ListFailed {
+		b.listFailed()
+		return
+	}
+	b.asking, b.backoff, b.askedAt = false, 0, b.now
+	if e.Kind != ListCached {
+		b.watching = true
+	} else if len(b.servers) > 0 {
+		return
+	}
+	rows := slices.Clone(e.Servers)
+	slices.SortFunc(rows, func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
+	if e.Kind != ListChange {
+		named := make(map[ServerID]bool, len(rows))
+		for _, row := range rows {
+			named[row.ID] = true
+		}
+		for _, s := range slices.Clone(b.table.holders) {
+			if !named[s.id] {
+				rows = append(rows, Server{ID: s.id, State: Gone})
+			}
+		}
+	}
+	fresh := len(b.table.first) == 0
+	var initial []*server
+	for _, row := range rows {
+		if s := b.servers[row.ID]; s != nil && row.State != Live {
+			b.table.drain(s, b.now)
+			if row.State == Gone {
+				b.table.drained(s)
+				b.forget(s)
+			}
+		}
+	}
+	for _, row := range rows {
+		if row.State != Live {
+			continue
+		}
+		s := b.servers[row.ID]
+		if s == nil {
+			s = &server{id: row.ID, hash: xxhash.Sum64String(string(row.ID)), pace: 1, since: row.Since, groups: map[string]int{}}
+			s.refill, s.tokens = b.now, b.rng.Float64()
+			b.servers[row.ID] = s
+		} else if row.Since > s.since { // restarted under its old id: cold, and no longer what it was
+			s.since, s.strikes, s.suspect, s.probation, s.refused = row.Since, 0, 0, false, false
+			s.pace, s.tokens, s.refill = 1, b.rng.Float64(), b.now
+		}
+		s.zone, s.cell, s.weight = row.Zone, row.Cell, row.Weight
+		if !(s.weight > 0) || math.IsInf(s.weight, 0) {
+			s.weight = 1
+		}
+		if s.state == draining { // called back
+			b.table.drained(s)
+		}
+		if fresh {
+			initial = append(initial, s)
+		} else {
+			b.table.fill(s, b.now)
+		}
+	}
+	if fresh {
+		b.table.build(initial)
+	}
+}
+
+// forget drops a server that nothing refers to any more.
+func (b *Brain) forget(s *server) {
+	if s.state == inactive && s.conns == 0 && b.servers[s.id] == s {
+		delete(b.servers, s.id)
+	}
+}
+
+// coldness returns the share of its capacity that a server has for certain, 1 when warm.
+func (b *Brain) coldness(s *server) float64 {
+	age := b.now - s.since
+	if s.since <= 0 || age >= b.set.WarmWithin {
+		return 1
+	}
+	return b.set.ColdShare + (1-b.set.ColdShare)*max(0, float64(age)/float64(b.set.WarmWithin))
+}
+
+// weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
+func (b *Brain) weigh() {
+	b.load, b.usable = 0, 0
+	var all, shut float64
+	for _, s := range b.table.holders {
+		if s.state == draining {
+			continue
+		}
+		all += s.weight
+		if b.shunned(s) {
+			shut += s.weight
+			continue
+		}
+		b.load += s.load
+		b.usable += b.carries(s)
+	}
+	b.trusting = shut > ejectable*all
+}
+
+// carries is the weight a server is good for now.
+func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) * b.paceOf(s) }
+
+// paceOf lets an old judgement of slowness fade over the time a start takes to warm.
+func (b *Brain) paceOf(s *server) float64 {
+	if s.pace >= 1 {
+		return 1
+	}
+	return min(1, s.pace+(1-s.pace)*float64(b.now-s.slowAt)/float64(b.set.WarmWithin+time.Second))
+}
+
+// shunned reports whether a server gets no new connection but a single trial one.
+func (b *Brain) shunned(s *server) bool {
+	return b.now < s.suspect || s.probation && s.pending > 0
+}
+
+// over reports whether a server is past the skip bound: more than skipFactor times the mean load
+// for its weight, and more than skipFloor connections.
+func (b *Brain) over(s *server, load float64) bool {
+	if s.conns < skipFloor || b.usable <= 0 {
+		return false
+	}
+	return s.load+load > skipFactor*(b.load+load)*b.carries(s)/b.usable
+}
+
+// affords reports whether this node's share of a cold server's budget covers one more connection.
+// The budget in every window is FallMultiple times the present capacity. Capacity is judged by the
+// rate of connections that this node places for the weight, which is its own share already.
+func (b *Brain) affords(s *server) bool {
+	share := b.coldness(s)
+	if share >= 1 {
+		return true
+	}
+	var weight float64
+	for _, h := range b.table.holders {
+		weight += h.weight
+	}
+	rate := coldMargin * b.set.FallMultiple * share * b.rate * s.weight / max(weight, s.weight)
+	burst := max(1, rate*b.set.FallWindow.Seconds())
+	s.tokens = min(burst, s.tokens+rate*(b.now-s.refill).Seconds())
+	s.refill = b.now
+	return s.tokens >= 1
+}
+
+// strike notes a failed attempt. The time shut out doubles with each, up to the time a start takes.
+func (b *Brain) strike(s *server, base time.Duration, hard bool) {
+	s.strikes++
+	s.probation = true
+	s.refused = hard
+	span := min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base)
+	if until := b.now + span; until > s.suspect {
+		s.suspect = until
+	}
+	if s.strikes == 2 {
+		b.log("server " + string(s.id) + " suspect: it fails attempts")
+	}
+}
+
+// well notes a success. One that follows failed connects may be a restart the list has not told of
+// yet: it is held to a cold server's budget.
+func (b *Brain) well(s *server) {
+	if s.refused && s.strikes >= 2 && s.since < b.now-b.set.WarmWithin {
+		s.since, s.tokens, s.refill = b.now, 0, b.now
+	}
+	s.strikes, s.suspect, s.probation, s.refused = 0, 0, false, false
+}
+
+// slow takes in how long messages take at a server against the shortest aim.
+func (b *Brain) slow(s *server, message time.Duration) {
+	if b.aim <= 0 {
+		return
+	}
+	was := b.paceOf(s)
+	r := float64(message) / float64(b.aim)
+	switch {
+	case r > 1:
+		was = min(was*0.8, 1)
+	case r > 0.5:
+		was *= 0.95
+	}
+	s.pace, s.slowAt = max(paceFloor, was), b.now
+}
+
+// second takes in one second's count of placed connections. A count is cut to twice what is known,
+// so that a wave of returning clients does not pass for capacity.
+func (b *Brain) second() {
+	if b.now < b.secondAt+time.Second {
+		return
+	}
+	if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate { // a jam says nothing of the usual rate
+		b.rate += rateSmooth * (n - b.rate)
+	}
+	b.placed, b.secondAt = 0, b.now
+}
--- /dev/null
+++ b/brain/table.go
@@ -0,0 +1,212 @@
+package brain
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// minEntries is the least table size. The design wants at least 1024; four times that keeps the
+// chance in the base layout's shares near 5% of a share for a dozen servers.
+const minEntries = 4096
+
+// nodeState is a server's state in the table (the source's four states).
+type nodeState uint8
+
+const (
+	inactive nodeState = iota
+	active
+	draining
+	filling
+)
+
+// table holds the first and second hops. It is built and changed only from the server list, so
+// nodes that saw the same changes hold the same table.
+type table struct {
+	first, second []*server
+	holders       []*server // servers that are not inactive, by id
+	changing      int       // how many of them drain or fill
+}
+
+// build lays a fresh table. Each entry goes to the server with the highest weighted rendezvous
+// score: shares follow the listed weights, and two nodes that start from lists that differ by a few
+// servers agree on all other entries.
+func (t *table) build(list []*server) {
+	size := max(len(list)*(len(list)/2), minEntries)
+	t.first, t.second = make([]*server, size), make([]*server, size)
+	for _, s := range list {
+		s.state = active
+	}
+	t.holders = slices.Clone(list)
+	slices.SortFunc(t.holders, byID)
+	for i := range t.first {
+		var best *server
+		top := math.Inf(-1)
+		for _, s := range t.holders {
+			u := (float64(mix(s.hash^mix(uint64(i)+1))>>11) + 0.5) / (1 << 53)
+			if score := math.Log(u) / s.weight; score > top {
+				best, top = s, score
+			}
+		}
+		t.first[i], t.second[i] = best, best
+	}
+}
+
+// drain makes x an always-second-hop server: its first-hop entries go in turn to the other parity
+// group. A drain outside the group that drains already, or during a fill, spreads over all.
+func (t *table) drain(x *server, now time.Duration) {
+	if x.state != active && x.state != filling {
+		return
+	}
+	drains, fills, outside := 0, 0, false
+	for _, s := range t.holders {
+		switch {
+		case s.state == draining:
+			drains++
+			outside = outside || s.parity != x.parity
+		case s.state == filling:
+			fills++
+		}
+	}
+	if drains == 0 { // parity groups stand for as long as any server drains
+		for i, s := range t.holders {
+			s.parity = i % 2
+		}
+	}
+	x.state, x.changedAt = draining, now
+	t.count()
+	spread := fills > 0 || outside
+	to := t.eligible(func(s *server) bool { return s.state == active && (spread || s.parity != x.parity) })
+	for _, state := range []nodeState{active, filling} {
+		if len(to) == 0 {
+			to = t.eligible(func(s *server) bool { return s.state == state })
+		}
+	}
+	next := 0
+	for i, s := range t.first {
+		if s != x {
+			continue
+		}
+		if t.first[i] = nil; len(to) > 0 {
+			t.first[i] = to[next%len(to)]
+			next++
+		}
+	}
+}
+
+// drained takes x out: its second-hop entries copy the first hop and it holds no entries.
+func (t *table) drained(x *server) {
+	for i, s := range t.second {
+		if s == x {
+			t.second[i] = t.first[i]
+		}
+	}
+	x.state = inactive
+	t.holders = slices.DeleteFunc(t.holders, func(s *server) bool { return s == x })
+	t.count()
+}
+
+// fill gives x two thirds of an even share, each entry the first occurrence of the active server
+// that holds most entries (ties by id); the displaced server moves to the second hop.
+func (t *table) fill(x *server, now time.Duration) {
+	if x.state != inactive {
+		return
+	}
+	if len(t.first) == 0 {
+		t.build(nil)
+	}
+	held := make(map[*server]int, len(t.holders))
+	for _, s := range t.first {
+		held[s]++
+	}
+	givers := t.eligible(func(s *server) bool { return s.state == active })
+	nodes := len(t.eligible(func(s *server) bool { return s.state == active || s.state == filling }))
+	x.state, x.changedAt = filling, now
+	at, _ := slices.BinarySearchFunc(t.holders, x, byID)
+	t.holders = slices.Insert(t.holders, at, x)
+	t.count()
+	for i, s := range t.first { // entries that nobody holds: the list had run empty
+		if s == nil {
+			t.first[i], t.second[i] = x, x
+		}
+	}
+	if len(givers) == 0 {
+		return
+	}
+	cursor := make(map[*server]int, len(givers))
+	for n := fillCount(len(t.first), nodes); n > 0; n-- {
+		most := givers[0]
+		for _, s := range givers[1:] {
+			if held[s] > held[most] {
+				most = s
+			}
+		}
+		if held[most] == 0 {
+			return
+		}
+		i := cursor[most]
+		for t.first[i] != most {
+			i++
+		}
+		cursor[most] = i + 1
+		held[most]--
+		t.first[i], t.second[i] = x, most
+	}
+}
+
+// fillCount is ceil((floor(entries/nodes)/3)*2).
+func fillCount(entries, nodes int) int {
+	return (entries/max(nodes, 1)*2 + 2) / 3
+}
+
+// progress ends drains and fills whose grace has passed; fills end sooner where no connection of
+// this node is older than the fill (oldest is when its oldest one was sent).
+func (t *table) progress(now, grace, oldest time.Duration) {
+	if t.changing == 0 {
+		return
+	}
+	for _, s := range slices.Clone(t.holders) {
+		switch {
+		case s.state == draining && now >= s.changedAt+grace:
+			t.drained(s)
+		case s.state == filling && (now >= s.changedAt+grace || oldest > s.changedAt):
+			s.state = active
+		}
+	}
+	t.count()
+}
+
+// hops returns an entry's two hops, the second nil unless the entry is changing.
+func (t *table) hops(i int) (first, second *server) {
+	first = t.first[i]
+	if s := t.second[i]; s != nil && s != first {
+		if s.state == draining || first != nil && first.state == filling {
+			second = s
+		}
+	}
+	return first, second
+}
+
+func (t *table) eligible(ok func(*server) bool) (out []*server) {
+	for _, s := range t.holders {
+		if ok(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (t *table) count() {
+	t.changing = len(t.eligible(func(s *server) bool { return s.state == draining || s.state == filling }))
+}
+
+func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
+
+// mix is the splitmix64 finisher.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,132 @@
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"onyxstream/brain"
+)
+
+// ms is a time in milliseconds.
+type ms float64
+
+func (m ms) duration() time.Duration {
+	return time.Duration(math.Round(float64(m)*1000)) * time.Microsecond
+}
+
+// facts is the part of the settings that the module uses; the rest is ignored.
+type facts struct {
+	Index        int    `json:"index"`
+	GroupSize    int    `json:"groupSize"`
+	Zone         int    `json:"zone"`
+	RegistryMode string `json:"registryMode"`
+	Lanes        []struct {
+		Aim       ms      `json:"aim"`
+		Deadline  ms      `json:"deadline"`
+		Semantics string  `json:"semantics"`
+		Group     string  `json:"group"`
+		Window    ms      `json:"window"`
+		Worth     float64 `json:"worth"`
+	} `json:"lanes"`
+	Customers []struct{} `json:"customers"`
+	Domain    struct {
+		Groups     bool      `json:"groups"`
+		MessageAim []ms      `json:"messageAim"`
+		Mode       string    `json:"mode"`
+		TenantOpen []float64 `json:"tenantQuotaConnections"`
+	} `json:"domain"`
+	Limits struct {
+		Cancel        bool `json:"cancel"`
+		MaxAttempts   int  `json:"maxAttempts"`
+		MaxRetryAfter ms   `json:"maxRetryAfter"`
+		MayTell       bool `json:"mayTell"`
+		Probes        bool `json:"probes"`
+		RetryAfter    bool `json:"retryAfter"`
+	} `json:"limits"`
+	Rules struct {
+		AskWithin         ms      `json:"askWithin"`
+		ColdShare         float64 `json:"coldShare"`
+		FallMultiple      float64 `json:"fallMultiple"`
+		OverloadFor       ms      `json:"overloadFor"`
+		StopSendingWithin ms      `json:"stopSendingWithin"`
+		WarmWithin        ms      `json:"warmWithin"`
+	} `json:"rules"`
+}
+
+var effects = map[string]brain.Effect{"": brain.Safe, "safe": brain.Safe, "keyed": brain.Keyed, "unsafe": brain.Unsafe}
+
+var scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}
+
+// settings translates the facts of a start into the module's settings.
+func settings(seed uint64, raw []byte) (brain.Settings, error) {
+	var f facts
+	if err := json.Unmarshal(raw, &f); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return brain.Settings{}, at("facts."+kind.Field, fmt.Errorf("a %s does not fit", kind.Value))
+		}
+		return brain.Settings{}, at("facts", err)
+	}
+	s := brain.Settings{
+		Seed: seed, Index: f.Index, GroupSize: f.GroupSize, Zone: f.Zone,
+		Groups: f.Domain.Groups, Pass: f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
+		MaxAttempts: f.Limits.MaxAttempts, MayCancel: f.Limits.Cancel, MayProbe: f.Limits.Probes,
+		MayTell: f.Limits.MayTell, RetryAfter: f.Limits.RetryAfter, MaxRetryAfter: f.Limits.MaxRetryAfter.duration(),
+		DrainGrace: f.Rules.StopSendingWithin.duration(), ColdShare: f.Rules.ColdShare,
+		WarmWithin: f.Rules.WarmWithin.duration(), FallMultiple: f.Rules.FallMultiple,
+		FallWindow: f.Rules.OverloadFor.duration(), AskWithin: f.Rules.AskWithin.duration(),
+	}
+	for _, bound := range []struct {
+		name     string
+		v, least float64
+	}{
+		{"groupSize", float64(f.GroupSize), 0}, {"index", float64(f.Index), 0},
+		{"limits.maxAttempts", float64(f.Limits.MaxAttempts), 0},
+		{"limits.maxRetryAfter", float64(f.Limits.MaxRetryAfter), 0},
+		{"rules.askWithin", float64(f.Rules.AskWithin), 0}, {"rules.coldShare", f.Rules.ColdShare, 0},
+		{"rules.fallMultiple", f.Rules.FallMultiple, 0}, {"rules.overloadFor", float64(f.Rules.OverloadFor), 0},
+		{"rules.stopSendingWithin", float64(f.Rules.StopSendingWithin), 0},
+		{"rules.warmWithin", float64(f.Rules.WarmWithin), 0},
+	} {
+		if bound.v < bound.least || bound.v > 1e12 {
+			return s, at("facts."+bound.name, fmt.Errorf("%g is out of range", bound.v))
+		}
+	}
+	if f.Rules.ColdShare > 1 {
+		return s, at("facts.rules.coldShare", fmt.Errorf("%g is over 1", f.Rules.ColdShare))
+	}
+	if len(f.Lanes) == 0 {
+		return s, at("facts.lanes", errors.New("no class is set"))
+	}
+	for i, l := range f.Lanes {
+		name := fmt.Sprintf("facts.lanes[%d].", i)
+		effect, ok := effects[l.Semantics]
+		if !ok {
+			return s, at(name+"semantics", fmt.Errorf("unknown word %q", l.Semantics))
+		}
+		scope, ok := scopes[l.Group]
+		if !ok {
+			return s, at(name+"group", fmt.Errorf("unknown word %q", l.Group))
+		}
+		if l.Aim < 0 || l.Deadline < 0 || l.Window < 0 {
+			return s, at(name+"aim", errors.New("a time is negative"))
+		}
+		c := brain.Class{SetupAim: l.Aim.duration(), Deadline: l.Deadline.duration(), Worth: l.Worth,
+			Effect: effect, Scope: scope, Window: l.Window.duration()}
+		if i < len(f.Domain.MessageAim) {
+			c.MessageAim = f.Domain.MessageAim[i].duration()
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for i := range f.Customers {
+		var t brain.Tenant
+		if i < len(f.Domain.TenantOpen) {
+			t.Connections = f.Domain.TenantOpen[i]
+		}
+		s.Tenants = append(s.Tenants, t)
+	}
+	return s, nil
+}
