--- a/brain/brain.go
+++ b/brain/brain.go
@@ -69,8 +69,9 @@
 
 	gap, nextSend time.Duration // least time between paced sends, 0 for none
 	cutAt, pumpAt time.Duration
-	queue         []*request // wait for their turn
-	erred         *server    // gave the last error
+	setup         time.Duration // what a set-up takes of late, over all servers
+	queue         []*request    // wait for their turn
+	erred         *server       // gave the last error
 
 	sweeping          bool
 	asking, watching  bool
@@ -252,17 +253,19 @@
 	}
 }
 
-// shared takes in the end of a set-up. Errors from one server after another come from what they all
-// call to set a connection up; sending on at once, when clients return in a wave, keeps that jammed.
-// So the time between sends grows by half with the errors, once for all that was sent before, and
-// shrinks with each success until it no longer matters.
-func (b *Brain) shared(a *attempt, ok bool) {
+// shared takes in how a set-up went. Errors from one server after another, or set-ups that are slow
+// on the whole, come from what they all call to set a connection up; sending on as clients return in
+// a wave keeps that jammed. So the time between sends grows by half, once for all that was sent
+// before, and shrinks with each good set-up until it no longer matters.
+func (b *Brain) shared(r *request, a *attempt, took time.Duration, ok bool) {
+	b.setup += (took - b.setup) / 8
 	usual := time.Duration(float64(time.Second) / max(b.rate, 1))
+	ok = ok && b.setup < b.set.Classes[r.Class].SetupAim/2
 	switch {
 	case a.at < b.cutAt:
 	case !ok && b.gap == 0:
-		b.gap, b.cutAt = usual/2, b.now
-		b.log("set-ups fail at several servers: paced")
+		b.gap, b.cutAt = usual/4, b.now
+		b.log("set-ups fail or are slow at several servers: paced")
 	case !ok:
 		b.gap, b.cutAt = min(b.gap*3/2, usual), b.now
 	case b.gap > 0:
@@ -283,8 +286,10 @@
 		b.giveUp(r, b.set.Classes[r.Class].SetupAim)
 		return
 	}
-	if aim := b.set.Classes[r.Class].SetupAim; aim > 0 && aim < left {
-		left = aim // a hung server says nothing: leave time for another
+	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, an
+	// attempt given up early is work done for nothing and done again.
+	if aim := max(b.set.Classes[r.Class].SetupAim, 4*b.setup); aim > 0 {
+		left = min(left, aim)
 	}
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
 	r.at = b.now
@@ -430,7 +435,7 @@
 	s := r.attempts[e.Attempt].to
 	r.conn = s
 	b.placed++
-	b.shared(&r.attempts[e.Attempt], true)
+	b.shared(r, &r.attempts[e.Attempt], e.Took, true)
 	s.pending--
 	s.open++
 	b.well(s)
@@ -457,13 +462,13 @@
 	case NoConnect:
 		b.strike(s, 2*aim, true)
 	case NoAnswer:
-		if e.Took >= aim {
+		if b.shared(r, a, e.Took, true); e.Took >= aim {
 			b.strike(s, 2*aim, false)
 		}
 	case Full:
 		b.strike(s, aim, false)
 	case Errored:
-		b.shared(a, false)
+		b.shared(r, a, e.Took, false)
 		if s == b.erred { // twice in a row the same one: its own fault
 			b.strike(s, aim, false)
 		}
