--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,7 @@
 	sweepToken = "sweep"
 	pumpToken  = "pump"
 	sweepEvery = 200 * time.Millisecond
+	pumpEvery  = 100 * time.Millisecond
 )
 
 // attempt is one send of a request.
@@ -237,18 +238,25 @@
 	b.pump()
 }
 
-// pump sends what has waited its turn.
+// pump sends what has waited its turn, and gives up at once what the queue can no longer serve in time.
 func (b *Brain) pump() {
-	for len(b.queue) > 0 && b.now >= b.nextSend {
-		r := b.queue[0]
-		b.queue = b.queue[1:]
-		if !r.answered {
+	waiting := b.queue
+	b.queue = nil
+	for _, r := range waiting {
+		left := r.deadline - b.now
+		switch wait := max(b.nextSend-b.now, 0) + b.gap*time.Duration(len(b.queue)); {
+		case r.answered:
+		case wait > left-pumpEvery:
+			b.giveUp(r, wait)
+		case wait == 0:
 			b.nextSend = b.now + b.gap
-			b.send(r, r.deadline-b.now)
+			b.send(r, left)
+		default:
+			b.queue = append(b.queue, r)
 		}
 	}
 	if len(b.queue) > 0 && b.pumpAt <= b.now {
-		b.pumpAt = max(b.nextSend, b.now+time.Millisecond)
+		b.pumpAt = b.now + max(min(b.nextSend-b.now, pumpEvery/2), time.Millisecond)
 		b.emit(Wake{b.pumpAt, pumpToken})
 	}
 }
