--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,6 @@
 	deadline time.Duration
 	attempts []attempt
 	conn     *server // where it stands
-	at       time.Duration
 	load     float64
 	answered bool // has had its final answer
 }
@@ -82,8 +81,8 @@
 
 // New starts a node that knows only its settings.
 func New(s Settings) *Brain {
-	b := &Brain{set: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
-	b.means = make([]float64, len(s.Classes))
+	b := &Brain{set: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), means: make([]float64, len(s.Classes)),
+		servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
 	for _, c := range s.Classes {
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -104,9 +103,11 @@
 	case ListEvent:
 		b.listed(e)
 	case Arrival:
-		b.arrive(e)
+		b.arrive(e, nil)
 	case Inherited:
-		b.inherit(e)
+		if s := b.servers[e.Server]; s != nil {
+			b.arrive(e.Arrival, s)
+		}
 	case Opened:
 		b.opened(e)
 	case Settled:
@@ -140,39 +141,21 @@
 	return time.Duration(b.rng.Float64() * float64(span))
 }
 
-// arrive takes a request in and places it at once.
-func (b *Brain) arrive(e Arrival) {
+// arrive takes a request in and places it at once, or notes where it stands already.
+func (b *Brain) arrive(e Arrival, on *server) {
 	if b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
 		return
 	}
 	r := &request{Arrival: e, deadline: b.now + e.Left}
-	r.load = b.expected(r)
+	r.load = cmp.Or(b.means[e.Class], b.unit, 1) // until a note tells more
 	b.reqs[e.ID] = r
-	b.try(r)
-}
-
-func (b *Brain) inherit(e Inherited) {
-	s := b.servers[e.Server]
-	if s == nil || b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
+	if on == nil {
+		b.try(r)
 		return
 	}
-	r := &request{Arrival: e.Arrival, conn: s, at: b.now, answered: true}
-	r.load = b.expected(r)
-	r.attempts = []attempt{{to: s, at: b.now, out: true}}
-	b.reqs[e.ID] = r
-	b.take(s, r)
-	s.open++
-}
-
-// expected is the load to reckon with until a note tells more.
-func (b *Brain) expected(r *request) float64 {
-	switch m := b.means[r.Class]; {
-	case m > 0:
-		return m
-	case b.unit > 0:
-		return b.unit
-	}
-	return 1
+	r.conn, r.answered = on, true
+	r.attempts = []attempt{{to: on, at: b.now, out: true}}
+	b.take(on, r)
 }
 
 func (b *Brain) take(s *server, r *request) {
@@ -300,7 +283,6 @@
 		left = min(left, aim)
 	}
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
-	r.at = b.now
 	b.take(s, r)
 	s.pending++
 	if b.coldness(s) < 1 {
@@ -325,7 +307,7 @@
 	if len(b.table.first) == 0 {
 		return nil
 	}
-	b.table.progress(b.now, b.set.DrainGrace, b.oldest())
+	b.table.progress(b.now, b.set.DrainGrace, b.oldest)
 	b.weigh()
 	at := b.slot(r)
 	first, second := b.table.hops(at)
@@ -368,15 +350,12 @@
 	return best
 }
 
-// oldest is when the oldest connection that still stands was sent, asked only while a fill runs.
+// oldest is when the oldest connection that still stands was sent.
 func (b *Brain) oldest() time.Duration {
-	if b.table.changing == 0 {
-		return 0
-	}
 	old := b.now + 1
 	for _, r := range b.reqs {
 		if r.conn != nil {
-			old = min(old, r.at)
+			old = min(old, r.attempts[len(r.attempts)-1].at)
 		}
 	}
 	return old
@@ -445,7 +424,6 @@
 	b.placed++
 	b.shared(r, &r.attempts[e.Attempt], e.Took, true)
 	s.pending--
-	s.open++
 	b.well(s)
 }
 
@@ -458,9 +436,7 @@
 	a.out, a.safe = false, e.Outcome.ProvesUnrun()
 	s := a.to
 	stood := r.conn != nil
-	if stood {
-		s.open--
-	} else {
+	if !stood {
 		s.pending--
 	}
 	aim := b.set.Classes[r.Class].SetupAim
@@ -504,7 +480,11 @@
 		return
 	}
 	b.weigh()
-	if b.usable <= 0 || !b.over(s, 0) {
+	room := false // some server that is well carries less than the mean
+	for _, t := range b.table.holders {
+		room = room || t != s && b.paceOf(t) == 1 && b.coldness(t) == 1 && !b.shunned(t) && t.load*b.usable < b.load*t.weight
+	}
+	if !room || !b.over(s, 0) {
 		return
 	}
 	s.nextMv = b.now + time.Second
@@ -525,22 +505,12 @@
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	b.second()
-	b.table.progress(b.now, b.set.DrainGrace, b.oldest())
+	b.table.progress(b.now, b.set.DrainGrace, b.oldest)
 	if !b.set.AskList {
 		return
 	}
-	if b.asking && b.set.AskWithin > 0 && b.now > b.askedAt+b.set.AskWithin {
-		b.asking = false // the answer is lost
-	}
-	if !b.watching && !b.asking && b.now >= b.askNotBy {
+	if !b.watching && b.now >= b.askNotBy && (!b.asking || b.now > b.askedAt+b.set.AskWithin) {
 		b.asking, b.askedAt = true, b.now
 		b.emit(Watch{})
 	}
 }
-
-// listFailed backs off with jitter, doubling, well within the time by which a node must have asked.
-func (b *Brain) listFailed() {
-	b.asking, b.watching = false, false
-	b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4)
-	b.askNotBy = b.now + b.backoff/2 + b.jitter(b.backoff)
-}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -23,14 +23,13 @@
 
 	conns   int            // open connections and attempts under way
 	load    float64        // their summed load
-	open    int            // connections that stand
 	groups  map[string]int // of each group, how many of them
 	pending int            // attempts under way
 
 	strikes   int           // failures since the last success
 	suspect   time.Duration // skipped until then
 	probation bool          // one attempt at a time until one succeeds
-	refused   bool          // the last failure was a failed connect: a restart may hide behind it
+	down      bool          // connects failed: a restart may hide behind it
 
 	pace   float64       // share of its listed weight that it is seen to carry, 1 when well
 	slowAt time.Duration // time of the last news on pace
@@ -58,52 +57,42 @@
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that
 // every node that is told of a version changes its table alike.
 func (b *Brain) listed(e ListEvent) {
-	if e.Kind == ListFailed {
-		b.listFailed()
+	if e.Kind == ListFailed { // back off with jitter, doubling, well within the time allowed
+		b.asking, b.watching = false, false
+		b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4)
+		b.askNotBy = b.now + b.backoff/2 + b.jitter(b.backoff)
 		return
 	}
-	b.asking, b.backoff, b.askedAt = false, 0, b.now
-	if e.Kind != ListCached {
-		b.watching = true
-	} else if len(b.servers) > 0 {
-		return
-	}
-	rows := slices.Clone(e.Servers)
-	slices.SortFunc(rows, func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
-	if e.Kind != ListChange {
-		named := make(map[ServerID]bool, len(rows))
-		for _, row := range rows {
-			named[row.ID] = true
-		}
-		for _, s := range slices.Clone(b.table.holders) {
-			if !named[s.id] {
-				rows = append(rows, Server{ID: s.id, State: Gone})
-			}
-		}
-	}
-	fresh := len(b.table.first) == 0
-	var initial []*server
+	b.watching = e.Kind != ListCached
+	b.asking, b.backoff = false, 0
+	rows := slices.SortedFunc(slices.Values(e.Servers), func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
+	named := make(map[ServerID]bool, len(rows))
 	for _, row := range rows {
+		named[row.ID] = row.State != Gone
 		if s := b.servers[row.ID]; s != nil && row.State != Live {
 			b.table.drain(s, b.now)
-			if row.State == Gone {
-				b.table.drained(s)
-				b.forget(s)
-			}
 		}
 	}
+	for _, s := range slices.Clone(b.table.holders) {
+		if held, told := named[s.id]; !held && (told || e.Kind != ListChange) {
+			b.table.drain(s, b.now)
+			b.table.drained(s)
+			b.forget(s)
+		}
+	}
+	var initial []*server
 	for _, row := range rows {
 		if row.State != Live {
 			continue
 		}
 		s := b.servers[row.ID]
 		if s == nil {
-			s = &server{id: row.ID, hash: xxhash.Sum64String(string(row.ID)), pace: 1, since: row.Since, groups: map[string]int{}}
-			s.refill, s.tokens = b.now, b.rng.Float64()
+			s = &server{id: row.ID, hash: xxhash.Sum64String(string(row.ID)), groups: map[string]int{}}
 			b.servers[row.ID] = s
-		} else if row.Since > s.since { // restarted under its old id: cold, and no longer what it was
-			s.since, s.strikes, s.suspect, s.probation, s.refused = row.Since, 0, 0, false, false
-			s.pace, s.tokens, s.refill = 1, b.rng.Float64(), b.now
+		}
+		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
+			s.since, s.pace, s.strikes, s.suspect, s.probation = row.Since, 1, 0, 0, false
+			s.tokens, s.refill = b.rng.Float64(), b.now
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, row.Weight
 		if !(s.weight > 0) || math.IsInf(s.weight, 0) {
@@ -112,13 +101,11 @@
 		if s.state == draining { // called back
 			b.table.drained(s)
 		}
-		if fresh {
-			initial = append(initial, s)
-		} else {
+		if initial = append(initial, s); len(b.table.first) > 0 {
 			b.table.fill(s, b.now)
 		}
 	}
-	if fresh {
+	if len(b.table.first) == 0 {
 		b.table.build(initial)
 	}
 }
@@ -206,11 +193,8 @@
 func (b *Brain) strike(s *server, base time.Duration, hard bool) {
 	s.strikes++
 	s.probation = true
-	s.refused = hard
-	span := min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base)
-	if until := b.now + span; until > s.suspect {
-		s.suspect = until
-	}
+	s.down = s.down || hard
+	s.suspect = max(s.suspect, b.now+min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base))
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
 	}
@@ -219,10 +203,10 @@
 // well notes a success. One that follows failed connects may be a restart the list has not told of
 // yet: it is held to a cold server's budget.
 func (b *Brain) well(s *server) {
-	if s.refused && s.strikes >= 2 && s.since < b.now-b.set.WarmWithin {
+	if s.down && s.strikes >= 2 && s.since < b.now-b.set.WarmWithin {
 		s.since, s.tokens, s.refill = b.now, 0, b.now
 	}
-	s.strikes, s.suspect, s.probation, s.refused = 0, 0, false, false
+	s.strikes, s.suspect, s.probation, s.down = 0, 0, false, false
 }
 
 // slow takes in how long messages take at a server against the shortest aim.
--- a/brain/table.go
+++ b/brain/table.go
@@ -26,7 +26,7 @@
 type table struct {
 	first, second []*server
 	holders       []*server // servers that are not inactive, by id
-	changing      int       // how many of them drain or fill
+	changing      bool      // some of them drain or fill
 }
 
 // build lays a fresh table. Each entry goes to the server with the highest weighted rendezvous
@@ -35,21 +35,17 @@
 func (t *table) build(list []*server) {
 	size := max(len(list)*(len(list)/2), minEntries)
 	t.first, t.second = make([]*server, size), make([]*server, size)
-	for _, s := range list {
-		s.state = active
-	}
 	t.holders = slices.Clone(list)
 	slices.SortFunc(t.holders, byID)
 	for i := range t.first {
-		var best *server
 		top := math.Inf(-1)
 		for _, s := range t.holders {
+			s.state = active
 			u := (float64(mix(s.hash^mix(uint64(i)+1))>>11) + 0.5) / (1 << 53)
 			if score := math.Log(u) / s.weight; score > top {
-				best, top = s, score
+				t.first[i], t.second[i], top = s, s, score
 			}
 		}
-		t.first[i], t.second[i] = best, best
 	}
 }
 
@@ -59,28 +55,26 @@
 	if x.state != active && x.state != filling {
 		return
 	}
-	drains, fills, outside := 0, 0, false
-	for _, s := range t.holders {
-		switch {
-		case s.state == draining:
-			drains++
-			outside = outside || s.parity != x.parity
-		case s.state == filling:
-			fills++
-		}
+	drains := t.in(draining)
+	spread := len(t.in(filling)) > 0
+	for _, s := range drains {
+		spread = spread || s.parity != x.parity
 	}
-	if drains == 0 { // parity groups stand for as long as any server drains
+	if len(drains) == 0 { // parity groups stand for as long as any server drains
 		for i, s := range t.holders {
 			s.parity = i % 2
 		}
 	}
-	x.state, x.changedAt = draining, now
-	t.count()
-	spread := fills > 0 || outside
-	to := t.eligible(func(s *server) bool { return s.state == active && (spread || s.parity != x.parity) })
+	x.state, x.changedAt, t.changing = draining, now, true
+	var to []*server
+	for _, s := range t.in(active) {
+		if spread || s.parity != x.parity {
+			to = append(to, s)
+		}
+	}
 	for _, state := range []nodeState{active, filling} {
 		if len(to) == 0 {
-			to = t.eligible(func(s *server) bool { return s.state == state })
+			to = t.in(state)
 		}
 	}
 	next := 0
@@ -104,7 +98,6 @@
 	}
 	x.state = inactive
 	t.holders = slices.DeleteFunc(t.holders, func(s *server) bool { return s == x })
-	t.count()
 }
 
 // fill gives x two thirds of an even share, each entry the first occurrence of the active server
@@ -113,31 +106,21 @@
 	if x.state != inactive {
 		return
 	}
-	if len(t.first) == 0 {
-		t.build(nil)
-	}
-	held := make(map[*server]int, len(t.holders))
-	for _, s := range t.first {
-		held[s]++
-	}
-	givers := t.eligible(func(s *server) bool { return s.state == active })
-	nodes := len(t.eligible(func(s *server) bool { return s.state == active || s.state == filling }))
-	x.state, x.changedAt = filling, now
+	givers := t.in(active)
+	n := fillCount(len(t.first), len(givers)+len(t.in(filling)))
+	x.state, x.changedAt, t.changing = filling, now, true
 	at, _ := slices.BinarySearchFunc(t.holders, x, byID)
 	t.holders = slices.Insert(t.holders, at, x)
-	t.count()
-	for i, s := range t.first { // entries that nobody holds: the list had run empty
-		if s == nil {
+	held, cursor := map[*server]int{}, map[*server]int{}
+	for i, s := range t.first {
+		if s == nil { // the list had run empty
 			t.first[i], t.second[i] = x, x
 		}
+		held[s]++
 	}
-	if len(givers) == 0 {
-		return
-	}
-	cursor := make(map[*server]int, len(givers))
-	for n := fillCount(len(t.first), nodes); n > 0; n-- {
+	for ; n > 0 && len(givers) > 0; n-- {
 		most := givers[0]
-		for _, s := range givers[1:] {
+		for _, s := range givers {
 			if held[s] > held[most] {
 				most = s
 			}
@@ -156,51 +139,46 @@
 }
 
 // fillCount is ceil((floor(entries/nodes)/3)*2).
-func fillCount(entries, nodes int) int {
-	return (entries/max(nodes, 1)*2 + 2) / 3
-}
+func fillCount(entries, nodes int) int { return (entries/max(nodes, 1)*2 + 2) / 3 }
 
 // progress ends drains and fills whose grace has passed; fills end sooner where no connection of
-// this node is older than the fill (oldest is when its oldest one was sent).
-func (t *table) progress(now, grace, oldest time.Duration) {
-	if t.changing == 0 {
+// this node is older than the fill (oldest tells when its oldest one was sent).
+func (t *table) progress(now, grace time.Duration, oldest func() time.Duration) {
+	if !t.changing {
 		return
 	}
-	for _, s := range slices.Clone(t.holders) {
-		switch {
-		case s.state == draining && now >= s.changedAt+grace:
+	for _, s := range t.in(draining) {
+		if now >= s.changedAt+grace {
 			t.drained(s)
-		case s.state == filling && (now >= s.changedAt+grace || oldest > s.changedAt):
+		}
+	}
+	for _, s := range t.in(filling) {
+		if now >= s.changedAt+grace || oldest() > s.changedAt {
 			s.state = active
 		}
 	}
-	t.count()
+	t.changing = len(t.in(draining))+len(t.in(filling)) > 0
 }
 
 // hops returns an entry's two hops, the second nil unless the entry is changing.
 func (t *table) hops(i int) (first, second *server) {
-	first = t.first[i]
-	if s := t.second[i]; s != nil && s != first {
-		if s.state == draining || first != nil && first.state == filling {
-			second = s
-		}
+	first, second = t.first[i], t.second[i]
+	if second == first || second == nil || second.state != draining && (first == nil || first.state != filling) {
+		return first, nil
 	}
 	return first, second
 }
 
-func (t *table) eligible(ok func(*server) bool) (out []*server) {
+// in lists the holders in a state, by id.
+func (t *table) in(state nodeState) (out []*server) {
 	for _, s := range t.holders {
-		if ok(s) {
+		if s.state == state {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
-func (t *table) count() {
-	t.changing = len(t.eligible(func(s *server) bool { return s.state == draining || s.state == filling }))
-}
-
 func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
 
 // mix is the splitmix64 finisher.
