--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
+package brain
+
 // The interface of this package, its settings, events and actions, is in api.go. The decisions stand
 // in brain.go (requests, placement, events), fleet.go (what is known of servers) and table.go.
 
-package brain
-
 import (
 	"cmp"
 	"math/rand/v2"
@@ -20,13 +20,13 @@
 	// groupSpread is over how many table entries one group's clients are hashed. Servers pay for
 	// each group they hold, so few; more than one, so that a large group splits evenly.
 	groupSpread = 2
+	// noteSmooth is the part of one load note that moves the mean: some twenty notes set it.
+	noteSmooth = 0.05
 	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
 	paceOff = 16
-	// sweepEvery is the pace of housekeeping.
-	sweepToken = "sweep"
-	pumpToken  = "pump"
-	sweepEvery = 200 * time.Millisecond
-	pumpEvery  = 100 * time.Millisecond
+	// sweepEvery is the pace of housekeeping, pumpEvery how early a late turn is given up.
+	sweepEvery, sweepToken = 200 * time.Millisecond, "sweep"
+	pumpEvery, pumpToken   = 100 * time.Millisecond, "pump"
 )
 
 // attempt is one send of a request.
@@ -59,13 +59,12 @@
 	reqs    map[RequestID]*request
 	walks   uint64
 
-	load, usable float64 // summed by weigh
-	trusting     bool    // too much is suspect: suspicion is set aside
-	unit         float64 // mean load of a connection, 0 while no note has come
-	means        []float64
-	rate         float64 // connections placed a second
-	placed       float64
-	secondAt     time.Duration
+	load, usable, weight float64   // summed by weigh: load, weight good for now, listed weight
+	trusting             bool      // too much is suspect: suspicion is set aside
+	unit                 float64   // mean load of a connection, 0 while no note has come
+	means                []float64 // the same of each class
+	rate, placed         float64   // connections set up a second, and in the second that runs
+	secondAt             time.Duration
 
 	gap, nextSend time.Duration // least time between paced sends, 0 for none
 	cutAt, pumpAt time.Duration
@@ -73,16 +72,14 @@
 	queue         []*request    // wait for their turn
 	erred         *server       // gave the last error
 
-	sweeping          bool
-	asking, watching  bool
-	askedAt, askNotBy time.Duration
-	backoff           time.Duration
+	sweeping, asking, watching bool
+	askedAt, askNotBy, backoff time.Duration
 }
 
 // New starts a node that knows only its settings.
 func New(s Settings) *Brain {
-	b := &Brain{set: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), means: make([]float64, len(s.Classes)),
-		servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
+	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
+	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
 	for _, c := range s.Classes {
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -113,13 +110,10 @@
 	case Settled:
 		b.settled(e)
 	case LoadNote:
-		if r := b.reqs[e.ID]; r != nil && r.conn != nil {
-			b.loaded(r, e.Load)
-		}
+		b.loaded(b.reqs[e.ID], e.Load)
 	case SlowNote:
 		if r := b.reqs[e.ID]; r != nil && r.conn != nil {
 			b.slow(r.conn, e.Message)
-			b.relieve(r.conn, e.Message)
 		}
 	case ClientGone:
 		if r := b.reqs[e.ID]; r != nil {
@@ -136,7 +130,6 @@
 
 func (b *Brain) emit(a Action)   { b.out = append(b.out, a) }
 func (b *Brain) log(text string) { b.emit(Log{text}) }
-
 func (b *Brain) jitter(span time.Duration) time.Duration {
 	return time.Duration(b.rng.Float64() * float64(span))
 }
@@ -153,17 +146,14 @@
 		b.try(r)
 		return
 	}
-	r.conn, r.answered = on, true
-	r.attempts = []attempt{{to: on, at: b.now, out: true}}
+	r.conn, r.attempts = on, []attempt{{to: on, at: b.now, out: true}}
 	b.take(on, r)
 }
 
 func (b *Brain) take(s *server, r *request) {
 	s.conns++
 	s.load += r.load
-	if r.Group != "" {
-		s.groups[r.Group]++
-	}
+	s.groups[r.Group]++
 }
 
 func (b *Brain) drop(s *server, r *request) {
@@ -171,10 +161,8 @@
 	if s.load -= r.load; s.conns == 0 {
 		s.load = 0 // no drift from rounding
 	}
-	if r.Group != "" {
-		if s.groups[r.Group]--; s.groups[r.Group] <= 0 {
-			delete(s.groups, r.Group)
-		}
+	if s.groups[r.Group]--; s.groups[r.Group] <= 0 {
+		delete(s.groups, r.Group)
 	}
 	b.forget(s)
 }
@@ -182,10 +170,10 @@
 // loaded takes in a connection's load now. The first note sets the unit that all loads without a
 // note are reckoned in.
 func (b *Brain) loaded(r *request, load float64) {
-	if load < 0 {
+	if r == nil || r.conn == nil || load <= 0 {
 		return
 	}
-	if b.unit == 0 && load > 0 {
+	if b.unit == 0 {
 		b.unit = load
 		for _, s := range b.servers {
 			s.load = float64(s.conns) * load
@@ -196,12 +184,10 @@
 	}
 	r.conn.load += load - r.load
 	r.load = load
-	if m := &b.means[r.Class]; *m == 0 {
-		*m = load
-	} else {
-		*m += 0.05 * (load - *m)
-	}
-	b.unit += 0.02 * (load - b.unit)
+	m := &b.means[r.Class]
+	*m = cmp.Or(*m, load)
+	*m += noteSmooth * (load - *m)
+	b.unit += noteSmooth * (load - b.unit)
 }
 
 // try sends a request to the next server, lets it wait its turn where set-ups are paced, or gives it
@@ -254,11 +240,11 @@
 	ok = ok && b.setup < b.set.Classes[r.Class].SetupAim/2
 	switch {
 	case a.at < b.cutAt:
-	case !ok && b.gap == 0:
-		b.gap, b.cutAt = usual/4, b.now
-		b.log("set-ups fail or are slow at several servers: paced")
 	case !ok:
-		b.gap, b.cutAt = min(b.gap*3/2, usual), b.now
+		if b.gap == 0 {
+			b.log("set-ups fail or are slow at several servers: paced")
+		}
+		b.gap, b.cutAt = min(max(b.gap*3/2, usual/4), usual), b.now
 	case b.gap > 0:
 		b.gap = b.gap * 9 / 10
 		if b.gap < usual/paceOff && len(b.queue) == 0 {
@@ -294,11 +280,11 @@
 // slot is the request's place in the table: the hash of its client key. Where connections of a group
 // share work, the group picks the place and the key one of groupSpread entries from there.
 func (b *Brain) slot(r *request) int {
-	n := uint64(len(b.table.first))
+	h := xxhash.Sum64String(r.Key)
 	if b.set.Groups && r.Group != "" {
-		return int((xxhash.Sum64String(r.Group) + xxhash.Sum64String(r.Key)%groupSpread) % n)
+		h = xxhash.Sum64String(r.Group) + h%groupSpread
 	}
-	return int(xxhash.Sum64String(r.Key) % n)
+	return int(h % uint64(len(b.table.first)))
 }
 
 // place picks the server: the first hop, or the second for a mid-flow arrival while the entry
@@ -307,16 +293,14 @@
 	if len(b.table.first) == 0 {
 		return nil
 	}
-	b.table.progress(b.now, b.set.DrainGrace, b.oldest)
+	b.table.progress(b.now, b.set.DrainGrace, len(b.reqs) == 0)
 	b.weigh()
 	at := b.slot(r)
 	first, second := b.table.hops(at)
-	if r.MidFlow && len(r.attempts) == 0 {
-		// The connection stands where the table put it, however loaded that server is.
-		for _, s := range []*server{second, first} {
-			if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
-				return s
-			}
+	// A mid-flow connection stands where the table put it, however loaded that server is.
+	for _, s := range []*server{second, first} {
+		if r.MidFlow && s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+			return s
 		}
 	}
 	b.walks++
@@ -340,7 +324,7 @@
 			k, v = 3, s.load/b.carries(s)
 		case i == 0:
 			return s
-		case s.groups[r.Group] > 0:
+		case r.Group != "" && s.groups[r.Group] > 0:
 			k = 1 // a skipped connection goes where its group is paid for already
 		}
 		if best == nil || k < rank || k == rank && v < value {
@@ -350,31 +334,15 @@
 	return best
 }
 
-// oldest is when the oldest connection that still stands was sent.
-func (b *Brain) oldest() time.Duration {
-	old := b.now + 1
-	for _, r := range b.reqs {
-		if r.conn != nil {
-			old = min(old, r.attempts[len(r.attempts)-1].at)
-		}
-	}
-	return old
-}
-
 // allowed reports whether rule and record permit another attempt at s: one that may have run is
 // repeated only as far as the class is proved safe, and no server is tried twice.
 func (b *Brain) allowed(r *request, s *server) bool {
 	c := &b.set.Classes[r.Class]
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if a.out || a.to == s {
-			return false
-		}
-		if a.safe || c.Effect == Safe {
-			continue
-		}
-		if c.Effect == Unsafe || b.now-a.at >= c.Window ||
-			c.Scope == ScopeZone && s.zone != a.to.zone || c.Scope == ScopeCell && s.cell != a.to.cell {
+		far := c.Scope == ScopeZone && s.zone != a.to.zone || c.Scope == ScopeCell && s.cell != a.to.cell
+		ran := !a.safe && c.Effect != Safe
+		if a.out || a.to == s || ran && (far || c.Effect == Unsafe || b.now-a.at >= c.Window) {
 			return false
 		}
 	}
@@ -388,12 +356,11 @@
 	for i := range r.attempts {
 		harmless = harmless && (r.attempts[i].safe || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll)
 	}
+	if !b.set.RetryAfter {
+		wait = 0
+	}
 	if harmless {
-		var pause time.Duration
-		if b.set.RetryAfter {
-			pause = min(wait, b.set.MaxRetryAfter)
-		}
-		b.emit(Refuse{r.ID, pause})
+		b.emit(Refuse{r.ID, min(wait, b.set.MaxRetryAfter)})
 	} else {
 		b.emit(Fail{r.ID})
 	}
@@ -419,12 +386,11 @@
 	if r == nil || r.conn != nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
 		return
 	}
-	s := r.attempts[e.Attempt].to
-	r.conn = s
+	r.conn = r.attempts[e.Attempt].to
+	r.conn.pending--
 	b.placed++
 	b.shared(r, &r.attempts[e.Attempt], e.Took, true)
-	s.pending--
-	b.well(s)
+	b.well(r.conn)
 }
 
 func (b *Brain) settled(e Settled) {
@@ -440,51 +406,40 @@
 		s.pending--
 	}
 	aim := b.set.Classes[r.Class].SetupAim
-	switch e.Outcome {
-	case Served:
+	switch {
+	case e.Outcome == Served:
 		b.well(s)
-	case NoConnect:
+	case e.Outcome == Reset && stood:
+		b.slow(s, 2*b.aim) // dropped for its crowd, or about to refuse connections
+	case e.Outcome == NoConnect:
 		b.strike(s, 2*aim, true)
-	case NoAnswer:
+	case e.Outcome == NoAnswer:
 		if b.shared(r, a, e.Took, true); e.Took >= aim {
 			b.strike(s, 2*aim, false)
 		}
-	case Full:
-		b.strike(s, aim, false)
-	case Errored:
+	case e.Outcome == Errored && s != b.erred:
 		b.shared(r, a, e.Took, false)
-		if s == b.erred { // twice in a row the same one: its own fault
-			b.strike(s, aim, false)
-		}
 		b.erred = s
-	case Reset:
-		if !stood {
-			b.strike(s, aim, false)
-		} else {
-			b.slow(s, 2*b.aim) // dropped for its crowd, or about to refuse connections
-		}
+	case e.Outcome == Full || e.Outcome == Reset || e.Outcome == Errored: // twice in a row: its own fault
+		b.strike(s, aim, false)
 	}
 	b.drop(s, r)
 	if r.conn = nil; stood || e.Final || r.answered {
-		r.answered = true
 		b.end(r)
-		return
+	} else {
+		b.try(r)
 	}
-	b.try(r)
 }
 
-// relieve moves connections off a server on which messages come too late, a few at a time, and only
-// while others have room.
-func (b *Brain) relieve(s *server, message time.Duration) {
-	if message <= b.aim || b.now < s.nextMv {
-		return
-	}
+// relieve moves the heaviest connections off a server on which messages come too late, a few at a
+// time, and only while some well server carries less than the mean.
+func (b *Brain) relieve(s *server) {
+	room := false
 	b.weigh()
-	room := false // some server that is well carries less than the mean
 	for _, t := range b.table.holders {
-		room = room || t != s && b.paceOf(t) == 1 && b.coldness(t) == 1 && !b.shunned(t) && t.load*b.usable < b.load*t.weight
+		room = room || t != s && b.carries(t) == t.weight && !b.shunned(t) && t.load*b.usable < b.load*t.weight
 	}
-	if !room || !b.over(s, 0) {
+	if !room || b.now < s.nextMv || !b.over(s, 0) {
 		return
 	}
 	s.nextMv = b.now + time.Second
@@ -494,8 +449,10 @@
 			on = append(on, r)
 		}
 	}
-	slices.SortFunc(on, func(x, y *request) int { return cmp.Or(cmp.Compare(y.load, x.load), cmp.Compare(x.ID, y.ID)) })
-	for _, r := range on[:min(len(on), max(1, len(on)/10))] {
+	slices.SortFunc(on, func(x, y *request) int {
+		return cmp.Or(cmp.Compare(y.load, x.load), cmp.Compare(x.ID, y.ID))
+	})
+	for _, r := range on[:(len(on)+9)/10] {
 		b.emit(Move{r.ID})
 		b.end(r)
 	}
@@ -504,12 +461,16 @@
 // sweep is the housekeeping: the table's changes, the rate, and the questions to the list.
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
-	b.second()
-	b.table.progress(b.now, b.set.DrainGrace, b.oldest)
-	if !b.set.AskList {
-		return
+	if b.now >= b.secondAt+time.Second {
+		// One second's count of placed connections is cut to twice what is known, so that a wave of
+		// returning clients does not pass for capacity; and a jam says nothing of the usual rate.
+		if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate {
+			b.rate += rateSmooth * (n - b.rate)
+		}
+		b.placed, b.secondAt = 0, b.now
 	}
-	if !b.watching && b.now >= b.askNotBy && (!b.asking || b.now > b.askedAt+b.set.AskWithin) {
+	b.table.progress(b.now, b.set.DrainGrace, len(b.reqs) == 0)
+	if b.set.AskList && !b.watching && b.now >= b.askNotBy && (!b.asking || b.now > b.askedAt+b.set.AskWithin) {
 		b.asking, b.askedAt = true, b.now
 		b.emit(Watch{})
 	}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,477 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func testSettings() Settings {
+	return Settings{
+		Seed: 1, GroupSize: 3, AskList: true, Pass: true, MaxAttempts: 4, MayCancel: true,
+		RetryAfter: true, MaxRetryAfter: 2 * time.Second, DrainGrace: time.Second, ColdShare: 0.25,
+		WarmWithin: 10 * time.Second, FallMultiple: 3, FallWindow: time.Second, AskWithin: 10 * time.Second,
+		Classes: []Class{
+			{SetupAim: 300 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms, Worth: 1},
+			{SetupAim: 300 * ms, Deadline: 2 * time.Second, Effect: Keyed, Scope: ScopeZone, Window: time.Second},
+			{SetupAim: 300 * ms, Deadline: 2 * time.Second, Effect: Unsafe},
+			{SetupAim: 300 * ms, Deadline: 2 * time.Second, Effect: Keyed, Scope: ScopeAll, Window: time.Second},
+			{SetupAim: 300 * ms, Deadline: 2 * time.Second, Effect: Keyed, Scope: ScopeCell, Window: time.Second},
+		},
+	}
+}
+
+// started is a node that holds a warm fleet of n servers.
+func started(t *testing.T, s Settings, n int) *Brain {
+	t.Helper()
+	b := New(s)
+	b.Handle(0, ListEvent{Kind: ListCached, Version: 1, Servers: fleetOf(n)})
+	return b
+}
+
+func sends(actions []Action) (out []Send) {
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// finals counts the final answers for a request.
+func finals(actions []Action, id RequestID) (n int, refused bool) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Refuse:
+			if a.ID == id {
+				n++
+				refused = true
+			}
+		case Fail:
+			if a.ID == id {
+				n++
+			}
+		}
+	}
+	return n, refused
+}
+
+func TestSameKeyGoesToTheSameServer(t *testing.T) {
+	b := started(t, testSettings(), 12)
+	other := testSettings()
+	other.Seed, other.Index = 7, 2
+	c := started(t, other, 12)
+	for i := range 50 {
+		a := Arrival{ID: RequestID(fmt.Sprint(i)), Key: fmt.Sprint("key", i), Left: time.Second}
+		x, y := sends(b.Handle(0, a)), sends(c.Handle(0, a))
+		if len(x) != 1 || len(y) != 1 {
+			t.Fatal("no send")
+		}
+		if first, _ := b.table.hops(b.slot(&request{Arrival: a})); !b.over(first, 1) && x[0].Server != first.id && first.conns < skipFloor {
+			t.Errorf("key %d left its first hop %s for %s", i, first.id, x[0].Server)
+		}
+		b.Handle(0, Settled{ID: a.ID, Outcome: Served, Final: true})
+		c.Handle(0, Settled{ID: a.ID, Outcome: Served, Final: true})
+		if x[0].Server != y[0].Server {
+			t.Errorf("key %d: %s at one node, %s at another", i, x[0].Server, y[0].Server)
+		}
+	}
+}
+
+func TestNoServersIsRefusedAtOnce(t *testing.T) {
+	b := New(testSettings())
+	if n, refused := finals(b.Handle(0, Arrival{ID: "r", Left: time.Second}), "r"); n != 1 || !refused {
+		t.Error("with no list the request must be refused at once")
+	}
+	b.Handle(0, ListEvent{Kind: ListFull, Version: 1, Servers: fleetOf(2)})
+	b.Handle(0, ListEvent{Kind: ListFull, Version: 2})
+	out := b.Handle(0, Arrival{ID: "q", Left: time.Second})
+	if n, _ := finals(out, "q"); n != 1 || len(sends(out)) != 0 {
+		t.Error("an emptied list still draws sends")
+	}
+	if len(b.reqs) != 0 {
+		t.Error("a refused request is still held")
+	}
+}
+
+func TestFurtherAttemptsByEffect(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		outcome Outcome
+		took    time.Duration
+		again   bool // another attempt may follow
+		refuse  bool // the last answer may be a refusal
+	}{
+		{"safe after silence", 0, NoAnswer, 300 * ms, true, true},
+		{"unsafe after silence", 2, NoAnswer, 300 * ms, false, false},
+		{"unsafe after a failed connect", 2, NoConnect, 50 * ms, true, true},
+		{"unsafe turned away", 2, Full, 5 * ms, true, true},
+		{"unsafe after an error", 2, Errored, 5 * ms, false, false},
+		{"keyed zone in its window", 1, NoAnswer, 300 * ms, true, false},
+		{"keyed zone past its window", 1, NoAnswer, 1200 * ms, false, false},
+		{"keyed all in its window", 3, NoAnswer, 300 * ms, true, true},
+		{"keyed all past its window", 3, NoAnswer, 1200 * ms, false, true},
+		{"keyed cell in its window", 4, Reset, 300 * ms, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := New(testSettings())
+			fleet := fleetOf(12)
+			for i := range fleet {
+				fleet[i].Zone, fleet[i].Cell = i%2, i%4
+			}
+			b.Handle(0, ListEvent{Kind: ListCached, Servers: fleet})
+			first := sends(b.Handle(0, Arrival{ID: "r", Class: c.class, Key: "k", Left: 2 * time.Second}))[0]
+			out := b.Handle(c.took, Settled{ID: "r", Server: first.Server, Took: c.took, Outcome: c.outcome})
+			again := sends(out)
+			if c.again != (len(again) == 1) {
+				t.Fatalf("further attempts: %v", again)
+			}
+			for i := 1; len(again) == 1; i++ {
+				was, is := b.servers[first.Server], b.servers[again[0].Server]
+				if was == is {
+					t.Fatal("the same server was tried twice")
+				}
+				if c.class == 1 && was.zone != is.zone || c.class == 4 && was.cell != is.cell {
+					t.Fatal("a keyed request left the servers that drop its repeats")
+				}
+				out = b.Handle(c.took, Settled{ID: "r", Attempt: i, Took: c.took, Outcome: c.outcome})
+				again = sends(out)
+			}
+			if n, refused := finals(out, "r"); n != 1 || refused != c.refuse {
+				t.Errorf("%d final answers, refused %v, want one, refused %v", n, refused, c.refuse)
+			}
+		})
+	}
+}
+
+func TestAttemptsUsedUpEndAtOnce(t *testing.T) {
+	b := started(t, testSettings(), 12)
+	out := b.Handle(0, Arrival{ID: "r", Key: "k", Left: 2 * time.Second})
+	for i := range 4 {
+		if len(sends(out)) != 1 {
+			t.Fatalf("attempt %d was not sent", i)
+		}
+		out = b.Handle(ms, Settled{ID: "r", Attempt: i, Outcome: NoConnect})
+	}
+	if n, refused := finals(out, "r"); n != 1 || !refused || len(sends(out)) != 0 {
+		t.Error("after the last attempt the request must be refused at once")
+	}
+}
+
+func TestClientGoneIsCancelledAndFreed(t *testing.T) {
+	b := started(t, testSettings(), 3)
+	b.Handle(0, Arrival{ID: "r", Key: "k", Left: time.Second})
+	out := b.Handle(ms, ClientGone{ID: "r"})
+	if len(out) != 1 || out[0] != (Cancel{ID: "r"}) {
+		t.Errorf("got %v, want a cancel", out)
+	}
+	out = b.Handle(2*ms, Settled{ID: "r", Outcome: Cancelled, Final: true})
+	if len(out) != 0 || len(b.reqs) != 0 {
+		t.Error("the request is not freed with its last attempt")
+	}
+	for _, e := range []Event{ClientGone{ID: "r"}, Settled{ID: "r"}, Opened{ID: "r"}, LoadNote{ID: "r", Load: 1},
+		SlowNote{ID: "r", Message: time.Second}, Timer{Token: "other"}, Probed{}, PeerMessage{}} {
+		if out := b.Handle(3*ms, e); len(out) != 0 {
+			t.Errorf("%T for what is no longer held drew %v", e, out)
+		}
+	}
+}
+
+// A hung server accepts and says nothing; a dead one refuses connections. Both must stop getting new
+// connections within a few attempts, be tried again later, and come back when well.
+func TestFailingServerIsLeftAloneAndComesBack(t *testing.T) {
+	for _, outcome := range []Outcome{NoAnswer, NoConnect} {
+		b := started(t, testSettings(), 6)
+		bad := b.table.first[0].id
+		hits, now := 0, time.Duration(0)
+		for i := range 200 {
+			id := RequestID(fmt.Sprint("r", i))
+			out := b.Handle(now, Arrival{ID: id, Key: fmt.Sprint(i), Left: 2 * time.Second})
+			for n := 0; len(sends(out)) == 1; n++ {
+				e := Settled{ID: id, Attempt: n, Took: 300 * ms, Outcome: outcome}
+				if sends(out)[0].Server != bad {
+					b.Handle(now, Opened{ID: id, Attempt: n, Took: 20 * ms})
+					e.Outcome, e.Final = Served, true
+				} else {
+					hits++
+				}
+				out = b.Handle(now, e)
+			}
+			now += 50 * ms
+		}
+		if hits < 2 || hits > 12 {
+			t.Errorf("outcome %d: the bad server got %d attempts in 10 s", outcome, hits)
+		}
+		s := b.servers[bad]
+		b.now = s.suspect + ms
+		if b.shunned(s) {
+			t.Error("it is never tried again")
+		}
+		b.well(s)
+		if s.strikes != 0 || s.probation {
+			t.Error("a success does not clear it")
+		}
+	}
+}
+
+func TestSuspicionNeverShutsOutTheFleet(t *testing.T) {
+	b := started(t, testSettings(), 6)
+	for _, s := range b.servers {
+		b.strike(s, time.Second, false)
+	}
+	if out := sends(b.Handle(ms, Arrival{ID: "r", Key: "k", Left: time.Second})); len(out) != 1 {
+		t.Error("with all servers suspect the plain table must go on")
+	}
+}
+
+// Half the clients return at once: set-ups queue at what all servers call to set one up. Sending on
+// at full speed keeps that jammed; waiting past the client's time would lose the request.
+func TestSharedSetupTroubleIsPacedAndAnsweredInTime(t *testing.T) {
+	b := started(t, testSettings(), 12)
+	now := time.Duration(0)
+	due := map[RequestID]time.Duration{}
+	answered := map[RequestID]bool{}
+	sent := 0
+	var wakes []time.Duration
+	var take func(actions []Action)
+	take = func(actions []Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case Send:
+				sent++
+				at := a
+				defer func() {
+					take(b.Handle(now, Settled{ID: at.ID, Attempt: len(b.reqs[at.ID].attempts) - 1, Took: 10 * ms, Outcome: Errored}))
+				}()
+			case Refuse:
+				answered[a.ID] = true
+				if now > due[a.ID] {
+					t.Fatalf("%s was answered after its time", a.ID)
+				}
+			case Wake:
+				wakes = append(wakes, a.At)
+			}
+		}
+	}
+	for i := range 100 {
+		id := RequestID(fmt.Sprint("r", i))
+		due[id] = 2 * time.Second
+		take(append([]Action(nil), b.Handle(0, Arrival{ID: id, Key: fmt.Sprint(i), Left: 2 * time.Second})...))
+	}
+	if sent > 20 {
+		t.Errorf("%d set-ups were sent into the jam at once", sent)
+	}
+	for now < 3*time.Second {
+		now += 5 * ms
+		for i := 0; i < len(wakes); i++ {
+			if wakes[i] <= now {
+				wakes = append(wakes[:i], wakes[i+1:]...)
+				take(append([]Action(nil), b.Handle(now, Timer{Token: pumpToken})...))
+				break
+			}
+		}
+	}
+	if len(answered) != 100 || len(b.reqs) != 0 {
+		t.Errorf("%d of 100 answered, %d held", len(answered), len(b.reqs))
+	}
+}
+
+func TestColdServerGetsItsShareOnly(t *testing.T) {
+	b := started(t, testSettings(), 5)
+	b.rate = 2 // connections a second over the warm five
+	b.Handle(0, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "cold", Weight: 2, Since: time.Nanosecond}}})
+	n := 0
+	for i := range 400 {
+		id := RequestID(fmt.Sprint(i))
+		for _, s := range sends(b.Handle(time.Duration(i)*5*ms, Arrival{ID: id, Key: id2key(i), Left: time.Second})) {
+			if s.Server == "cold" {
+				n++
+			}
+		}
+	}
+	// Two seconds at coldMargin*FallMultiple*share*rate*weight share, and the first token.
+	if n > 2 {
+		t.Errorf("a cold server got %d connections of a wave in 2 s", n)
+	}
+}
+
+func id2key(i int) string { return fmt.Sprint("key-", i) }
+
+func TestDiscoveryAsksBacksOffAndRecovers(t *testing.T) {
+	b := New(testSettings())
+	watches := 0
+	run := func(from, to time.Duration) {
+		for now := from; now < to; now += sweepEvery {
+			for _, a := range b.Handle(now, Timer{Token: sweepToken}) {
+				if _, ok := a.(Watch); ok {
+					watches++
+				}
+			}
+		}
+	}
+	run(0, 2*time.Second)
+	if watches != 1 {
+		t.Fatalf("asked %d times at the start, want once", watches)
+	}
+	b.Handle(2*time.Second, ListEvent{Kind: ListFailed})
+	run(2*time.Second, 9*time.Second)
+	if watches != 2 {
+		t.Fatalf("asked %d times after one failure, want twice", watches)
+	}
+	b.Handle(9*time.Second, ListEvent{Kind: ListFull, Version: 3, Servers: fleetOf(3)})
+	run(9*time.Second, 60*time.Second)
+	if watches != 2 {
+		t.Error("a standing watch is asked again")
+	}
+	b.Handle(60*time.Second, ListEvent{Kind: ListFailed}) // the watch broke
+	run(60*time.Second, 70*time.Second)
+	if watches != 3 {
+		t.Error("a broken watch is not asked again")
+	}
+	push := testSettings()
+	push.AskList = false
+	b, watches = New(push), 0
+	run(0, 5*time.Second)
+	if watches != 0 {
+		t.Error("a pushed list was asked for")
+	}
+}
+
+func TestRestartUnderTheOldNameIsCold(t *testing.T) {
+	b := started(t, testSettings(), 4)
+	b.Handle(30*time.Second, ListEvent{Kind: ListChange, Servers: []Server{{ID: "s01", Weight: 1, Since: 29 * time.Second}}})
+	if got := b.coldness(b.servers["s01"]); got > 0.35 {
+		t.Errorf("coldness %.2f a second after the restart", got)
+	}
+}
+
+// world plays a fleet that answers at random, and checks what must hold in every run.
+func TestInvariantsOverRandomDays(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		set := testSettings()
+		set.Seed = seed
+		nodes := []*Brain{New(set), New(set)}
+		told := map[ServerID]time.Duration{} // when a server was told to drain
+		live := map[RequestID]int{}          // open attempts by request
+		sent := map[RequestID]int{}
+		done := map[RequestID]bool{}
+		now := time.Duration(0)
+		step := func(e Event) {
+			out := nodes[0].Handle(now, e)
+			if twin := nodes[1].Handle(now, e); fmt.Sprint(twin) != fmt.Sprint(out) {
+				t.Fatalf("seed %d: the same events drew %v and %v", seed, out, twin)
+			}
+			for _, a := range out {
+				switch a := a.(type) {
+				case Send:
+					if done[a.ID] {
+						t.Fatalf("seed %d: a send after the final answer", seed)
+					}
+					if at, ok := told[a.Server]; ok && now > at+set.DrainGrace {
+						t.Fatalf("seed %d: a send past the drain grace", seed)
+					}
+					if live[a.ID]++; live[a.ID] > 1 {
+						t.Fatalf("seed %d: two attempts at once", seed)
+					}
+					if sent[a.ID]++; sent[a.ID] > set.MaxAttempts {
+						t.Fatalf("seed %d: too many attempts", seed)
+					}
+				case Refuse:
+					if done[a.ID] {
+						t.Fatalf("seed %d: two final answers", seed)
+					}
+					done[a.ID] = true
+				case Fail:
+					if done[a.ID] {
+						t.Fatalf("seed %d: two final answers", seed)
+					}
+					done[a.ID] = true
+				case Move:
+					done[a.ID] = true
+				}
+			}
+		}
+		step(ListEvent{Kind: ListCached, Servers: fleetOf(8)})
+		var ids []RequestID
+		opened := map[RequestID]bool{}
+		for i := range 3000 {
+			now += time.Duration(rng.IntN(20)) * ms
+			switch k := rng.IntN(20); {
+			case k < 8:
+				id := RequestID(fmt.Sprint("r", i))
+				ids = append(ids, id)
+				step(Arrival{ID: id, Class: rng.IntN(5), Key: fmt.Sprint(rng.IntN(40)), Group: fmt.Sprint(rng.IntN(5)),
+					Left: time.Duration(rng.IntN(2000)) * ms, MidFlow: rng.IntN(9) == 0})
+			case k < 14 && len(ids) > 0:
+				id := ids[rng.IntN(len(ids))]
+				if live[id] == 0 {
+					break
+				}
+				if !opened[id] && rng.IntN(2) == 0 {
+					opened[id] = true
+					step(Opened{ID: id, Attempt: sent[id] - 1, Took: 30 * ms})
+					break
+				}
+				live[id]--
+				o := Outcome(rng.IntN(8))
+				final := opened[id] || done[id] || o == Served
+				if final {
+					done[id] = true
+				}
+				step(Settled{ID: id, Attempt: sent[id] - 1, Took: 100 * ms, Outcome: o, Final: final})
+			case k < 16 && len(ids) > 0:
+				step(LoadNote{ID: ids[rng.IntN(len(ids))], Load: 1000 * rng.Float64()})
+			case k == 16 && len(ids) > 0:
+				step(SlowNote{ID: ids[rng.IntN(len(ids))], Message: time.Duration(rng.IntN(400)) * ms})
+			case k == 17:
+				c := fleetOf(8)[rng.IntN(8)]
+				c.State = ServerState(rng.IntN(3))
+				if delete(told, c.ID); c.State == Live {
+					c.Since = now
+				} else {
+					told[c.ID] = now
+				}
+				if was := nodes[0].servers[c.ID]; was != nil && was.state == draining && c.State != Live {
+					told[c.ID] = was.changedAt
+				}
+				step(ListEvent{Kind: ListChange, Servers: []Server{c}})
+			case k == 18 && len(ids) > 0:
+				id := ids[rng.IntN(len(ids))]
+				if !done[id] && !opened[id] {
+					done[id] = true
+					step(ClientGone{ID: id})
+				}
+			default:
+				step(Timer{Token: sweepToken})
+				step(Timer{Token: pumpToken})
+			}
+		}
+		// When every attempt has ended, nothing is held.
+		for range 3 {
+			for _, id := range ids {
+				for live[id] > 0 {
+					live[id]--
+					done[id] = true
+					step(Settled{ID: id, Attempt: sent[id] - 1, Outcome: Cancelled, Final: true})
+				}
+			}
+			now += 3 * time.Second
+			step(Timer{Token: pumpToken})
+		}
+		for _, n := range nodes {
+			if len(n.reqs) != 0 || len(n.queue) != 0 {
+				t.Fatalf("seed %d: %d requests are still held", seed, len(n.reqs))
+			}
+			for _, s := range n.servers {
+				if s.conns != 0 || s.pending != 0 || len(s.groups) != 0 || s.load != 0 {
+					t.Fatalf("seed %d: server %s keeps %+v", seed, s.id, s)
+				}
+			}
+		}
+	}
+}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -16,10 +16,9 @@
 	zone, cell int
 	weight     float64
 	since      time.Duration
-
-	state     nodeState
-	parity    int
-	changedAt time.Duration // when it began to drain or fill
+	state      nodeState
+	parity     int
+	changedAt  time.Duration // when it began to drain or fill
 
 	conns   int            // open connections and attempts under way
 	load    float64        // their summed load
@@ -35,7 +34,7 @@
 	slowAt time.Duration // time of the last news on pace
 	nextMv time.Duration // not moved off before then
 
-	tokens  float64 // cold budget left, in loads
+	tokens  float64 // cold budget left, in connections, as of refill
 	refill  time.Duration
 	visited uint64 // stamp of the walk that last met it
 }
@@ -50,6 +49,8 @@
 	// paceFloor keeps a slow server in sight: at this share it still gets a connection now and
 	// then, whose notes tell when it is well again.
 	paceFloor = 0.1
+	// slowCut is the part of a server's pace that a second of late messages takes off.
+	slowCut = 0.2
 	// rateSmooth is the part of one second's count that moves the known rate of connections.
 	rateSmooth = 0.1
 )
@@ -128,21 +129,21 @@
 
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
-	b.load, b.usable = 0, 0
-	var all, shut float64
+	shut := 0.0
+	b.load, b.usable, b.weight = 0, 0, 0
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
 		}
-		all += s.weight
+		b.weight += s.weight
 		if b.shunned(s) {
 			shut += s.weight
-			continue
+		} else {
+			b.load += s.load
+			b.usable += b.carries(s)
 		}
-		b.load += s.load
-		b.usable += b.carries(s)
 	}
-	b.trusting = shut > ejectable*all
+	b.trusting = shut > ejectable*b.weight
 }
 
 // carries is the weight a server is good for now.
@@ -150,9 +151,6 @@
 
 // paceOf lets an old judgement of slowness fade over the time a start takes to warm.
 func (b *Brain) paceOf(s *server) float64 {
-	if s.pace >= 1 {
-		return 1
-	}
 	return min(1, s.pace+(1-s.pace)*float64(b.now-s.slowAt)/float64(b.set.WarmWithin+time.Second))
 }
 
@@ -164,10 +162,8 @@
 // over reports whether a server is past the skip bound: more than skipFactor times the mean load
 // for its weight, and more than skipFloor connections.
 func (b *Brain) over(s *server, load float64) bool {
-	if s.conns < skipFloor || b.usable <= 0 {
-		return false
-	}
-	return s.load+load > skipFactor*(b.load+load)*b.carries(s)/b.usable
+	w := b.carries(s)
+	return s.conns >= skipFloor && s.load+load > skipFactor*(b.load+load)*w/max(b.usable, w)
 }
 
 // affords reports whether this node's share of a cold server's budget covers one more connection.
@@ -178,13 +174,8 @@
 	if share >= 1 {
 		return true
 	}
-	var weight float64
-	for _, h := range b.table.holders {
-		weight += h.weight
-	}
-	rate := coldMargin * b.set.FallMultiple * share * b.rate * s.weight / max(weight, s.weight)
-	burst := max(1, rate*b.set.FallWindow.Seconds())
-	s.tokens = min(burst, s.tokens+rate*(b.now-s.refill).Seconds())
+	rate := coldMargin * b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
+	s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
 	s.refill = b.now
 	return s.tokens >= 1
 }
@@ -192,8 +183,7 @@
 // strike notes a failed attempt. The time shut out doubles with each, up to the time a start takes.
 func (b *Brain) strike(s *server, base time.Duration, hard bool) {
 	s.strikes++
-	s.probation = true
-	s.down = s.down || hard
+	s.probation, s.down = true, s.down || hard
 	s.suspect = max(s.suspect, b.now+min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base))
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
@@ -211,28 +201,9 @@
 
 // slow takes in how long messages take at a server against the shortest aim.
 func (b *Brain) slow(s *server, message time.Duration) {
-	if b.aim <= 0 {
-		return
-	}
-	was := b.paceOf(s)
-	r := float64(message) / float64(b.aim)
-	switch {
-	case r > 1:
-		was = min(was*0.8, 1)
-	case r > 0.5:
-		was *= 0.95
-	}
-	s.pace, s.slowAt = max(paceFloor, was), b.now
-}
-
-// second takes in one second's count of placed connections. A count is cut to twice what is known,
-// so that a wave of returning clients does not pass for capacity.
-func (b *Brain) second() {
-	if b.now < b.secondAt+time.Second {
-		return
-	}
-	if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate { // a jam says nothing of the usual rate
-		b.rate += rateSmooth * (n - b.rate)
+	late := min(1, message.Seconds()/max(b.aim.Seconds(), 1e-3))
+	s.pace, s.slowAt = max(paceFloor, b.paceOf(s)*(1-slowCut*late*late)), b.now
+	if late == 1 {
+		b.relieve(s)
 	}
-	b.placed, b.secondAt = 0, b.now
 }
--- a/brain/table.go
+++ b/brain/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -41,7 +42,7 @@
 		top := math.Inf(-1)
 		for _, s := range t.holders {
 			s.state = active
-			u := (float64(mix(s.hash^mix(uint64(i)+1))>>11) + 0.5) / (1 << 53)
+			u := (float64(mix(mix(s.hash, uint64(i)), s.hash)>>11) + 0.5) / (1 << 53)
 			if score := math.Log(u) / s.weight; score > top {
 				t.first[i], t.second[i], top = s, s, score
 			}
@@ -79,12 +80,11 @@
 	}
 	next := 0
 	for i, s := range t.first {
-		if s != x {
-			continue
-		}
-		if t.first[i] = nil; len(to) > 0 {
+		if s == x && len(to) > 0 {
 			t.first[i] = to[next%len(to)]
 			next++
+		} else if s == x {
+			t.first[i] = nil
 		}
 	}
 }
@@ -141,9 +141,9 @@
 // fillCount is ceil((floor(entries/nodes)/3)*2).
 func fillCount(entries, nodes int) int { return (entries/max(nodes, 1)*2 + 2) / 3 }
 
-// progress ends drains and fills whose grace has passed; fills end sooner where no connection of
-// this node is older than the fill (oldest tells when its oldest one was sent).
-func (t *table) progress(now, grace time.Duration, oldest func() time.Duration) {
+// progress ends drains and fills whose grace has passed; fills end sooner where this node has no
+// connection left.
+func (t *table) progress(now, grace time.Duration, idle bool) {
 	if !t.changing {
 		return
 	}
@@ -153,7 +153,7 @@
 		}
 	}
 	for _, s := range t.in(filling) {
-		if now >= s.changedAt+grace || oldest() > s.changedAt {
+		if now >= s.changedAt+grace || idle {
 			s.state = active
 		}
 	}
@@ -181,10 +181,8 @@
 
 func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
 
-// mix is the splitmix64 finisher.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+// mix folds the 128-bit product of two words: alike on all nodes, unseeded.
+func mix(x, y uint64) uint64 {
+	hi, lo := bits.Mul64(x^0x9e3779b97f4a7c15, y^0xd1b54a32d192ed03)
+	return hi ^ lo
 }
--- /dev/null
+++ b/brain/table_test.go
@@ -0,0 +1,170 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// tableOf lays out a table by hand, as the paper's examples do.
+func tableOf(names string, layout []int) (*table, []*server) {
+	t := &table{}
+	var all []*server
+	for _, n := range names {
+		all = append(all, &server{id: ServerID(n), weight: 1, state: active})
+	}
+	t.holders = append(t.holders, all...)
+	for _, i := range layout {
+		t.first = append(t.first, all[i])
+		t.second = append(t.second, all[i])
+	}
+	return t, all
+}
+
+func render(row []*server) string {
+	out := ""
+	for _, s := range row {
+		if s == nil {
+			out += "-"
+		} else {
+			out += string(s.id)
+		}
+	}
+	return out
+}
+
+func expect(t *testing.T, tab *table, first, second string) {
+	t.Helper()
+	if got := render(tab.first); got != first {
+		t.Errorf("first  %s, want %s", got, first)
+	}
+	if got := render(tab.second); got != second {
+		t.Errorf("second %s, want %s", got, second)
+	}
+}
+
+var sevenThrice = []int{0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6}
+
+// The paper's drain example: servers in sorted order in turn, as DESIGN has it.
+func TestDrainGoesToTheOtherParityGroup(t *testing.T) {
+	tab, s := tableOf("0123456", sevenThrice)
+	tab.drain(s[4], 0)
+	expect(t, tab, "000111222333135555666", "000111222333444555666")
+	tab.drain(s[2], 0) // the same group: it may drain at the same time
+	expect(t, tab, "000111135333135555666", "000111222333444555666")
+	tab.drained(s[2])
+	tab.drained(s[4])
+	expect(t, tab, "000111135333135555666", "000111135333135555666")
+	if s[2].state != inactive || s[4].state != inactive || len(tab.holders) != 5 {
+		t.Error("the drained servers still hold a state")
+	}
+}
+
+func TestDrainOutsideTheGroupSpreadsOverAll(t *testing.T) {
+	tab, s := tableOf("0123456", sevenThrice)
+	tab.drain(s[4], 0)
+	tab.drain(s[1], 0)
+	expect(t, tab, "000023222333535555666", "000111222333444555666")
+	for _, x := range tab.first {
+		if x == s[1] || x == s[4] {
+			t.Fatalf("%s still takes new connections", x.id)
+		}
+	}
+}
+
+// The paper's fill example under DESIGN's rule: the most frequent active server, ties by id.
+func TestFillTakesTwoThirdsFromTheMostFrequent(t *testing.T) {
+	tab, all := tableOf("0123456", []int{0, 0, 0, 1, 1, 1, 1, 3, 5, 3, 3, 3, 1, 3, 5, 5, 5, 5, 6, 6, 6})
+	tab.drained(all[2])
+	tab.drained(all[4])
+	x := &server{id: "4", weight: 1}
+	tab.fill(x, 0)
+	if n := fillCount(21, 5); n != 3 {
+		t.Fatalf("fill count %d, want 3", n)
+	}
+	// 1, 3 and 5 hold five entries each: one of each moves to the second hop.
+	expect(t, tab, "000411144333135555666", "000111135333135555666")
+	first, second := tab.hops(3)
+	if first != x || second != all[1] {
+		t.Error("an entry that is filled must name the old server as second hop")
+	}
+	tab.progress(time.Second, time.Second, false)
+	if _, second := tab.hops(3); x.state != active || second != nil {
+		t.Error("the fill did not end with the grace")
+	}
+}
+
+func TestDrainDuringAFillSpreadsAndLeavesNoEntry(t *testing.T) {
+	tab, s := tableOf("0123", []int{0, 0, 1, 1, 2, 2, 3, 3})
+	x := &server{id: "9", weight: 1}
+	tab.fill(x, 0)
+	tab.drain(s[0], 0)
+	tab.drain(x, 0)
+	for i, f := range tab.first {
+		if f == nil || f == x || f == s[0] {
+			t.Errorf("entry %d is held by a draining server", i)
+		}
+	}
+}
+
+func TestLastServerLeavesEmptyEntriesAndTheNextFillsThem(t *testing.T) {
+	tab, s := tableOf("0", []int{0, 0, 0})
+	tab.drain(s[0], 0)
+	tab.drained(s[0])
+	expect(t, tab, "---", "---")
+	tab.fill(&server{id: "7", weight: 1}, 0)
+	expect(t, tab, "777", "777")
+}
+
+func fleetOf(n int) (out []Server) {
+	for i := range n {
+		out = append(out, Server{ID: ServerID(fmt.Sprintf("s%02d", i)), Weight: 1 + float64(i%3)})
+	}
+	return out
+}
+
+func TestBaseLayoutFollowsWeights(t *testing.T) {
+	b := started(t, testSettings(), 12)
+	held := map[ServerID]float64{}
+	for _, s := range b.table.first {
+		held[s.id]++
+	}
+	total := 0.0
+	for _, s := range fleetOf(12) {
+		total += s.Weight
+	}
+	for _, s := range fleetOf(12) {
+		want := s.Weight / total * float64(len(b.table.first))
+		if got := held[s.ID]; got < 0.8*want || got > 1.2*want {
+			t.Errorf("%s holds %.0f entries, its weight is worth %.0f", s.ID, got, want)
+		}
+	}
+}
+
+// Nodes that are told the same changes hold the same table, whatever else they saw, and a change
+// moves only the entries of the servers it names.
+func TestTablesStayAlikeAndRemapLittle(t *testing.T) {
+	other := testSettings()
+	other.Seed, other.Index = 99, 1
+	a, b := started(t, testSettings(), 12), started(t, other, 12)
+	b.Handle(0, Arrival{ID: "x", Key: "k", Left: time.Second})
+	changes := []Server{{ID: "s03", State: Draining}, {ID: "s05", State: Gone}, {ID: "new", Weight: 2},
+		{ID: "s03", State: Gone}, {ID: "s07", State: Draining}, {ID: "s05", Weight: 3}}
+	for i, c := range changes {
+		before := append([]*server(nil), a.table.first...)
+		at := time.Duration(i+1) * 5 * time.Second
+		for _, n := range []*Brain{a, b} {
+			n.Handle(at, Timer{Token: sweepToken})
+			n.Handle(at, ListEvent{Kind: ListChange, Version: int64(i + 2), Servers: []Server{c}})
+		}
+		if render(a.table.first) != render(b.table.first) || render(a.table.second) != render(b.table.second) {
+			t.Fatalf("tables differ after change %d", i)
+		}
+		for j, was := range before {
+			now := a.table.first[j]
+			if was != now && was.id != c.ID && now.id != c.ID {
+				t.Fatalf("change %d moved an entry of %s to %s", i, was.id, now.id)
+			}
+		}
+	}
+}
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -109,8 +109,10 @@
 			}
 		}
 	}
-	if err == nil && h.dec.Next() != jx.Invalid {
-		err = errors.New("text after the batch")
+	if err == nil {
+		if rest := h.dec.Skip(); !errors.Is(rest, io.EOF) && !errors.Is(rest, io.ErrUnexpectedEOF) {
+			err = errors.New("text after the batch")
+		}
 	}
 	if err != nil {
 		if seenSerial {
