Limit each server's own load by late messages; refuse when all are full

A server's load limit is now cut by late messages, connections over it go elsewhere, and a request is refused at once when every server is at its limit.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -193,18 +193,16 @@
 // try sends a request to the next server, lets it wait its turn where set-ups are paced, or gives it
 // up at once.
 func (b *Brain) try(r *request) {
-	left := r.deadline - b.now
-	if r.MidFlow && len(r.attempts) == 0 || b.gap == 0 {
+	left, wait := r.deadline-b.now, max(b.nextSend-b.now, 0)+b.gap*time.Duration(len(b.queue))
+	switch {
+	case r.MidFlow && len(r.attempts) == 0 || b.gap == 0:
 		b.send(r, left)
-		return
-	}
-	wait := max(b.nextSend-b.now, 0) + b.gap*time.Duration(len(b.queue))
-	if wait > left/2 { // its turn would come too late for the attempt itself
+	case wait > left/2: // its turn would come too late for the attempt itself
 		b.giveUp(r, wait)
-		return
+	default:
+		b.queue = append(b.queue, r)
+		b.pump()
 	}
-	b.queue = append(b.queue, r)
-	b.pump()
 }
 
 // pump sends what has waited its turn, and gives up at once what the queue can no longer serve in time.
@@ -320,6 +318,8 @@
 		switch {
 		case b.shunned(s) && !b.trusting:
 			k, v = 4, s.suspect.Seconds()
+		case b.full(s, r.load):
+			continue // one more would only make it late for all that it has
 		case b.over(s, r.load):
 			k, v = 3, s.load/b.carries(s)
 		case i == 0:
@@ -370,15 +370,12 @@
 // end marks a request as answered and frees it once no attempt of it is out.
 func (b *Brain) end(r *request) {
 	r.answered = true
-	for i := range r.attempts {
-		if r.attempts[i].out {
-			if r.conn == nil && b.set.MayCancel {
-				b.emit(Cancel{r.ID, i})
-			}
-			return
-		}
+	switch i := len(r.attempts) - 1; {
+	case i < 0 || !r.attempts[i].out:
+		delete(b.reqs, r.ID)
+	case r.conn == nil && b.set.MayCancel:
+		b.emit(Cancel{r.ID, i})
 	}
-	delete(b.reqs, r.ID)
 }
 
 func (b *Brain) opened(e Opened) {
@@ -410,7 +407,9 @@
 	case e.Outcome == Served:
 		b.well(s)
 	case e.Outcome == Reset && stood:
-		b.slow(s, 2*b.aim) // dropped for its crowd, or about to refuse connections
+		if b.now > s.limitAt+time.Second {
+			b.cut(s) // dropped for its crowd, or about to refuse connections
+		}
 	case e.Outcome == NoConnect:
 		b.strike(s, 2*aim, true)
 	case e.Outcome == NoAnswer:
@@ -431,28 +430,25 @@
 	}
 }
 
-// relieve moves the heaviest connections off a server on which messages come too late, a few at a
-// time, and only while some well server carries less than the mean.
+// relieve moves connections off a server until it is within its limit, those with the least worth
+// for their load first.
 func (b *Brain) relieve(s *server) {
-	room := false
-	b.weigh()
-	for _, t := range b.table.holders {
-		room = room || t != s && b.carries(t) == t.weight && !b.shunned(t) && t.load*b.usable < b.load*t.weight
-	}
-	if !room || b.now < s.nextMv || !b.over(s, 0) {
-		return
-	}
-	s.nextMv = b.now + time.Second
 	var on []*request
 	for _, r := range b.reqs {
 		if r.conn == s && !r.answered {
 			on = append(on, r)
 		}
 	}
+	price := func(r *request) float64 { return r.load / max(b.set.Classes[r.Class].Worth, 1e-9) }
 	slices.SortFunc(on, func(x, y *request) int {
-		return cmp.Or(cmp.Compare(y.load, x.load), cmp.Compare(x.ID, y.ID))
+		return cmp.Or(cmp.Compare(price(y), price(x)), cmp.Compare(x.ID, y.ID))
 	})
-	for _, r := range on[:(len(on)+9)/10] {
+	over := s.load - s.limit
+	for _, r := range on {
+		if over < r.load/2 {
+			continue
+		}
+		over -= r.load
 		b.emit(Move{r.ID})
 		b.end(r)
 	}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -30,9 +30,9 @@
 	probation bool          // one attempt at a time until one succeeds
 	down      bool          // connects failed: a restart may hide behind it
 
-	pace   float64       // share of its listed weight that it is seen to carry, 1 when well
-	slowAt time.Duration // time of the last news on pace
-	nextMv time.Duration // not moved off before then
+	limit   float64       // own load at which messages were last late, less slowCut; 0 for none
+	limitAt time.Duration // when that was
+	message time.Duration // how long messages took then
 
 	tokens  float64 // cold budget left, in connections, as of refill
 	refill  time.Duration
@@ -46,10 +46,10 @@
 	// ejectable is the share of the fleet's weight that suspicion may shut out at once. Past it
 	// the evidence says more of the network or of the wave than of the servers.
 	ejectable = 0.5
-	// paceFloor keeps a slow server in sight: at this share it still gets a connection now and
-	// then, whose notes tell when it is well again.
-	paceFloor = 0.1
-	// slowCut is the part of a server's pace that a second of late messages takes off.
+	// slowFloor keeps a slow server in sight: with this part of its share it still gets a connection
+	// now and then, whose notes tell when it is well again.
+	slowFloor = 0.1
+	// slowCut is the part of a server's load that a second of late messages takes off.
 	slowCut = 0.2
 	// rateSmooth is the part of one second's count that moves the known rate of connections.
 	rateSmooth = 0.1
@@ -92,7 +92,7 @@
 			b.servers[row.ID] = s
 		}
 		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
-			s.since, s.pace, s.strikes, s.suspect, s.probation = row.Since, 1, 0, 0, false
+			s.since, s.limit, s.strikes, s.suspect, s.probation = row.Since, 0, 0, 0, false
 			s.tokens, s.refill = b.rng.Float64(), b.now
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, row.Weight
@@ -147,11 +147,13 @@
 }
 
 // carries is the weight a server is good for now.
-func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) * b.paceOf(s) }
+func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
-// paceOf lets an old judgement of slowness fade over the time a start takes to warm.
-func (b *Brain) paceOf(s *server) float64 {
-	return min(1, s.pace+(1-s.pace)*float64(b.now-s.slowAt)/float64(b.set.WarmWithin+time.Second))
+// full reports whether a server has as much load as it was last seen not to cope with. The limit
+// grows to its double in the time a start takes to warm, so a server that was slow is tried again.
+func (b *Brain) full(s *server, load float64) bool {
+	grown := 1 + float64(b.now-s.limitAt)/float64(b.set.WarmWithin+time.Second)
+	return s.limit > 0 && s.load+load > s.limit*grown
 }
 
 // shunned reports whether a server gets no new connection but a single trial one.
@@ -199,11 +201,19 @@
 	s.strikes, s.suspect, s.probation, s.down = 0, 0, false, false
 }
 
-// slow takes in how long messages take at a server against the shortest aim.
+// slow takes in how long messages take at a server, told once a second while that is near the
+// shortest aim. While the time falls, a backlog drains and the last cut was enough.
 func (b *Brain) slow(s *server, message time.Duration) {
-	late := min(1, message.Seconds()/max(b.aim.Seconds(), 1e-3))
-	s.pace, s.slowAt = max(paceFloor, b.paceOf(s)*(1-slowCut*late*late)), b.now
-	if late == 1 {
-		b.relieve(s)
+	if message > b.aim && (message >= s.message || b.now > s.limitAt+2*time.Second) {
+		b.cut(s)
 	}
+	s.message = message
+}
+
+// cut lowers the load that a server may have and sends what is over it to where there is room.
+func (b *Brain) cut(s *server) {
+	b.weigh()
+	floor := slowFloor * b.load * s.weight / max(b.usable, s.weight)
+	s.limit, s.limitAt = max(floor, s.load*(1-slowCut)), b.now
+	b.relieve(s)
 }
