--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -40,11 +39,9 @@
 }
 
 const (
-	// coldMargin is the part of the rule's budget that is used: the rest is for chance in the
-	// loads drawn and for the error of judging capacity by what equal servers carry.
+	// coldMargin is the part of the rule's budget that is used: the rest is for chance in the loads.
 	coldMargin = 0.5
-	// ejectable is the share of the fleet's weight that suspicion may shut out at once. Past it
-	// the evidence says more of the network or of the wave than of the servers.
+	// ejectable is the share of the fleet that suspicion may shut out at once: more is no server's fault.
 	ejectable = 0.5
 	// slowFloor keeps a slow server in sight: with this part of its share it still gets a connection
 	// now and then, whose notes tell when it is well again.
@@ -95,10 +92,7 @@
 			s.since, s.limit, s.strikes, s.suspect, s.probation = row.Since, 0, 0, 0, false
 			s.tokens, s.refill = b.rng.Float64(), b.now
 		}
-		s.zone, s.cell, s.weight = row.Zone, row.Cell, row.Weight
-		if !(s.weight > 0) || math.IsInf(s.weight, 0) {
-			s.weight = 1
-		}
+		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
 		if s.state == draining { // called back
 			b.table.drained(s)
 		}
