--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,9 +17,6 @@
 	skipFactor = 1.5
 	// skipFloor is the least number of own connections at which a server can be skipped.
 	skipFloor = 2
-	// groupSpread is over how many table entries one group's clients are hashed. Servers pay for
-	// each group they hold, so few; more than one, so that a large group splits evenly.
-	groupSpread = 2
 	// noteSmooth is the part of one load note that moves the mean: some twenty notes set it.
 	noteSmooth = 0.05
 	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
@@ -275,14 +272,14 @@
 	b.emit(Send{r.ID, s.id, left})
 }
 
-// slot is the request's place in the table: the hash of its client key. Where connections of a group
-// share work, the group picks the place and the key one of groupSpread entries from there.
+// slot is the request's place in the table: the hash of its client key, or of its group where the
+// settings say that connections of a group share work on a server.
 func (b *Brain) slot(r *request) int {
-	h := xxhash.Sum64String(r.Key)
+	key := r.Key
 	if b.set.Groups && r.Group != "" {
-		h = xxhash.Sum64String(r.Group) + h%groupSpread
+		key = r.Group
 	}
-	return int(h % uint64(len(b.table.first)))
+	return int(xxhash.Sum64String(key) % uint64(len(b.table.first)))
 }
 
 // place picks the server: the first hop, or the second for a mid-flow arrival while the entry
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -47,7 +47,7 @@
 	// now and then, whose notes tell when it is well again.
 	slowFloor = 0.1
 	// slowCut is the part of a server's load that a second of late messages takes off.
-	slowCut = 0.2
+	slowCut = 0.35
 	// rateSmooth is the part of one second's count that moves the known rate of connections.
 	rateSmooth = 0.1
 )
@@ -144,9 +144,9 @@
 func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
 // full reports whether a server has as much load as it was last seen not to cope with. The limit
-// grows to its double in the time a start takes to warm, so a server that was slow is tried again.
+// grows to its double in twice the time a start takes to warm, so a server that was slow is tried again.
 func (b *Brain) full(s *server, load float64) bool {
-	grown := 1 + float64(b.now-s.limitAt)/float64(b.set.WarmWithin+time.Second)
+	grown := 1 + float64(b.now-s.limitAt)/float64(2*b.set.WarmWithin+time.Second)
 	return s.limit > 0 && s.load+load > s.limit*grown
 }
 
@@ -196,9 +196,9 @@
 }
 
 // slow takes in how long messages take at a server, told once a second while that is near the
-// shortest aim. While the time falls, a backlog drains and the last cut was enough.
+// shortest aim; from half of it on the pile grows. While the time falls, a backlog drains and the last cut was enough.
 func (b *Brain) slow(s *server, message time.Duration) {
-	if message > b.aim && (message >= s.message || b.now > s.limitAt+2*time.Second) {
+	if message > b.aim/2 && (message >= s.message || b.now > s.limitAt+2*time.Second) {
 		b.cut(s)
 	}
 	s.message = message
