--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,15 +46,15 @@
 
 // Brain decides for one node.
 type Brain struct {
-	set     Settings
-	now     time.Duration
-	out     []Action
-	rng     *rand.Rand
-	aim     time.Duration // shortest message aim
-	table   table
-	servers map[ServerID]*server
-	reqs    map[RequestID]*request
-	walks   uint64
+	set          Settings
+	now          time.Duration
+	out          []Action
+	rng          *rand.Rand
+	aim, recover time.Duration // shortest message aim; time in which a limit grows back
+	table        table
+	servers      map[ServerID]*server
+	reqs         map[RequestID]*request
+	walks        uint64
 
 	load, usable, weight float64   // summed by weigh: load, weight good for now, listed weight
 	trusting             bool      // too much is suspect: suspicion is set aside
@@ -78,6 +78,7 @@
 	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
 	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
 	for _, c := range s.Classes {
+		b.recover = max(b.recover, 8*c.Deadline)
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
 		}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -31,6 +31,7 @@
 
 	limit   float64       // own load at which messages were last late, less slowCut; 0 for none
 	limitAt time.Duration // when that was
+	peak    float64       // the most load it had of late: the limit grows by that much in a recovery
 	message time.Duration // how long messages took then
 
 	tokens  float64 // cold budget left, in connections, as of refill
@@ -89,7 +90,7 @@
 			b.servers[row.ID] = s
 		}
 		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
-			s.since, s.limit, s.strikes, s.suspect, s.probation = row.Since, 0, 0, 0, false
+			s.since, s.limit, s.peak, s.strikes, s.suspect, s.probation = row.Since, 0, 0, 0, 0, false
 			s.tokens, s.refill = b.rng.Float64(), b.now
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
@@ -146,8 +147,8 @@
 // full reports whether a server has as much load as it was last seen not to cope with. The limit
 // grows to its double in twice the time a start takes to warm, so a server that was slow is tried again.
 func (b *Brain) full(s *server, load float64) bool {
-	grown := 1 + float64(b.now-s.limitAt)/float64(2*b.set.WarmWithin+time.Second)
-	return s.limit > 0 && s.load+load > s.limit*grown
+	grown := s.peak * float64(b.now-s.limitAt) / float64(b.recover)
+	return s.limit > 0 && s.load+load > s.limit+grown
 }
 
 // shunned reports whether a server gets no new connection but a single trial one.
@@ -208,6 +209,7 @@
 func (b *Brain) cut(s *server) {
 	b.weigh()
 	floor := slowFloor * b.load * s.weight / max(b.usable, s.weight)
+	s.peak = max(s.load, s.peak*(1-slowCut/4))
 	s.limit, s.limitAt = max(floor, s.load*(1-slowCut)), b.now
 	b.relieve(s)
 }
