Count a group held as one mean load on its server, in limits, skips and relief

Cause: on the overloaded incidents most of the load was groups paid for on ten servers each. A group's place on a server now counts as one mean load.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -56,12 +56,12 @@
 	reqs         map[RequestID]*request
 	walks        uint64
 
-	load, usable, weight float64   // summed by weigh: load, weight good for now, listed weight
-	trusting             bool      // too much is suspect: suspicion is set aside
-	unit                 float64   // mean load of a connection, 0 while no note has come
-	means                []float64 // the same of each class
-	rate, placed         float64   // connections set up a second, and in the second that runs
-	secondAt             time.Duration
+	load, usable, weight, group float64   // summed by weigh: load, weight good for now, listed weight
+	trusting                    bool      // too much is suspect: suspicion is set aside
+	unit                        float64   // mean load of a connection, 0 while no note has come
+	means                       []float64 // the same of each class
+	rate, placed                float64   // connections set up a second, and in the second that runs
+	secondAt                    time.Duration
 
 	gap, nextSend time.Duration // least time between paced sends, 0 for none
 	cutAt, pumpAt time.Duration
@@ -312,14 +312,18 @@
 		if !b.allowed(r, s) || !b.affords(s) {
 			continue
 		}
+		load := r.load
+		if s.groups[r.Group] == 0 {
+			load += b.group
+		}
 		k, v := 2.0, 0.0 // the next entry that names another server
 		switch {
 		case b.shunned(s) && !b.trusting:
 			k, v = 4, s.suspect.Seconds()
-		case b.full(s, r.load):
+		case b.full(s, load):
 			continue // one more would only make it late for all that it has
-		case b.over(s, r.load):
-			k, v = 3, s.load/b.carries(s)
+		case b.over(s, load):
+			k, v = 3, b.bears(s)/b.carries(s)
 		case i == 0:
 			return s
 		case r.Group != "" && s.groups[r.Group] > 0:
@@ -437,11 +441,13 @@
 			on = append(on, r)
 		}
 	}
-	price := func(r *request) float64 { return r.load / max(b.set.Classes[r.Class].Worth, 1e-9) }
+	price := func(r *request) float64 {
+		return (r.load + b.group/float64(s.groups[r.Group])) / max(b.set.Classes[r.Class].Worth, 1e-9)
+	}
 	slices.SortFunc(on, func(x, y *request) int {
 		return cmp.Or(cmp.Compare(price(y), price(x)), cmp.Compare(x.ID, y.ID))
 	})
-	over := s.load - s.limit
+	over := b.bears(s) - s.limit
 	for _, r := range on {
 		if over < r.load/2 {
 			continue
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -125,7 +125,10 @@
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
 	shut := 0.0
-	b.load, b.usable, b.weight = 0, 0, 0
+	b.load, b.usable, b.weight, b.group = 0, 0, 0, 0
+	if b.set.Groups {
+		b.group = b.unit // the settings tell that a group has its price, not which: one mean load
+	}
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
@@ -134,13 +137,16 @@
 		if b.shunned(s) {
 			shut += s.weight
 		} else {
-			b.load += s.load
+			b.load += b.bears(s)
 			b.usable += b.carries(s)
 		}
 	}
 	b.trusting = shut > ejectable*b.weight
 }
 
+// bears is the load that a server has of this node, the groups it holds counted in.
+func (b *Brain) bears(s *server) float64 { return s.load + b.group*float64(len(s.groups)) }
+
 // carries is the weight a server is good for now.
 func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
@@ -148,7 +154,7 @@
 // grows to its double in twice the time a start takes to warm, so a server that was slow is tried again.
 func (b *Brain) full(s *server, load float64) bool {
 	grown := s.peak * float64(b.now-s.limitAt) / float64(b.recover)
-	return s.limit > 0 && s.load+load > s.limit+grown
+	return s.limit > 0 && b.bears(s)+load > s.limit+grown
 }
 
 // shunned reports whether a server gets no new connection but a single trial one.
@@ -160,7 +166,7 @@
 // for its weight, and more than skipFloor connections.
 func (b *Brain) over(s *server, load float64) bool {
 	w := b.carries(s)
-	return s.conns >= skipFloor && s.load+load > skipFactor*(b.load+load)*w/max(b.usable, w)
+	return s.conns >= skipFloor && b.bears(s)+load > skipFactor*(b.load+load)*w/max(b.usable, w)
 }
 
 // affords reports whether this node's share of a cold server's budget covers one more connection.
@@ -196,8 +202,8 @@
 	s.strikes, s.suspect, s.probation, s.down = 0, 0, false, false
 }
 
-// slow takes in how long messages take at a server, told once a second while that is near the
-// shortest aim; from half of it on the pile grows. While the time falls, a backlog drains and the last cut was enough.
+// slow takes in how long messages take at a server, told each second while that is near the shortest
+// aim. From half of it on the pile grows; while the time falls, the last cut was enough.
 func (b *Brain) slow(s *server, message time.Duration) {
 	if message > b.aim/2 && (message >= s.message || b.now > s.limitAt+2*time.Second) {
 		b.cut(s)
@@ -209,7 +215,7 @@
 func (b *Brain) cut(s *server) {
 	b.weigh()
 	floor := slowFloor * b.load * s.weight / max(b.usable, s.weight)
-	s.peak = max(s.load, s.peak*(1-slowCut/4))
-	s.limit, s.limitAt = max(floor, s.load*(1-slowCut)), b.now
+	s.peak = max(b.bears(s), s.peak*(1-slowCut/4))
+	s.limit, s.limitAt = max(floor, b.bears(s)*(1-slowCut)), b.now
 	b.relieve(s)
 }
--- a/brain/table.go
+++ b/brain/table.go
@@ -67,24 +67,17 @@
 		}
 	}
 	x.state, x.changedAt, t.changing = draining, now, true
-	var to []*server
-	for _, s := range t.in(active) {
-		if spread || s.parity != x.parity {
-			to = append(to, s)
-		}
-	}
-	for _, state := range []nodeState{active, filling} {
+	to := slices.DeleteFunc(t.in(active), func(s *server) bool { return !spread && s.parity == x.parity })
+	for _, more := range [][]*server{t.in(active), t.in(filling), {nil}} {
 		if len(to) == 0 {
-			to = t.in(state)
+			to = more
 		}
 	}
 	next := 0
 	for i, s := range t.first {
-		if s == x && len(to) > 0 {
+		if s == x {
 			t.first[i] = to[next%len(to)]
 			next++
-		} else if s == x {
-			t.first[i] = nil
 		}
 	}
 }
@@ -147,17 +140,17 @@
 	if !t.changing {
 		return
 	}
-	for _, s := range t.in(draining) {
-		if now >= s.changedAt+grace {
+	t.changing = false
+	for _, s := range slices.Clone(t.holders) {
+		switch over := now >= s.changedAt+grace; {
+		case s.state == draining && over:
 			t.drained(s)
-		}
-	}
-	for _, s := range t.in(filling) {
-		if now >= s.changedAt+grace || idle {
+		case s.state == filling && (over || idle):
 			s.state = active
+		default:
+			t.changing = t.changing || s.state != active
 		}
 	}
-	t.changing = len(t.in(draining))+len(t.in(filling)) > 0
 }
 
 // hops returns an entry's two hops, the second nil unless the entry is changing.
