--- a/brain/brain.go
+++ b/brain/brain.go
@@ -413,16 +413,16 @@
 			b.cut(s) // dropped for its crowd, or about to refuse connections
 		}
 	case e.Outcome == NoConnect:
-		b.strike(s, 2*aim, true)
+		b.strike(s, 2*aim)
 	case e.Outcome == NoAnswer:
 		if b.shared(r, a, e.Took, true); e.Took >= aim {
-			b.strike(s, 2*aim, false)
+			b.strike(s, 2*aim)
 		}
 	case e.Outcome == Errored && s != b.erred:
 		b.shared(r, a, e.Took, false)
 		b.erred = s
 	case e.Outcome == Full || e.Outcome == Reset || e.Outcome == Errored: // twice in a row: its own fault
-		b.strike(s, aim, false)
+		b.strike(s, aim)
 	}
 	b.drop(s, r)
 	if r.conn = nil; stood || e.Final || r.answered {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -221,7 +221,7 @@
 func TestSuspicionNeverShutsOutTheFleet(t *testing.T) {
 	b := started(t, testSettings(), 6)
 	for _, s := range b.servers {
-		b.strike(s, time.Second, false)
+		b.strike(s, time.Second)
 	}
 	if out := sends(b.Handle(ms, Arrival{ID: "r", Key: "k", Left: time.Second})); len(out) != 1 {
 		t.Error("with all servers suspect the plain table must go on")
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -27,7 +27,6 @@
 	strikes   int           // failures since the last success
 	suspect   time.Duration // skipped until then
 	probation bool          // one attempt at a time until one succeeds
-	down      bool          // connects failed: a restart may hide behind it
 
 	limit   float64       // own load at which messages were last late, less slowCut; 0 for none
 	limitAt time.Duration // when that was
@@ -184,23 +183,17 @@
 }
 
 // strike notes a failed attempt. The time shut out doubles with each, up to the time a start takes.
-func (b *Brain) strike(s *server, base time.Duration, hard bool) {
+func (b *Brain) strike(s *server, base time.Duration) {
 	s.strikes++
-	s.probation, s.down = true, s.down || hard
+	s.probation = true
 	s.suspect = max(s.suspect, b.now+min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base))
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
 	}
 }
 
-// well notes a success. One that follows failed connects may be a restart the list has not told of
-// yet: it is held to a cold server's budget.
-func (b *Brain) well(s *server) {
-	if s.down && s.strikes >= 2 && s.since < b.now-b.set.WarmWithin {
-		s.since, s.tokens, s.refill = b.now, 0, b.now
-	}
-	s.strikes, s.suspect, s.probation, s.down = 0, 0, false, false
-}
+// well notes a success.
+func (b *Brain) well(s *server) { s.strikes, s.suspect, s.probation = 0, 0, false }
 
 // slow takes in how long messages take at a server, told each second while that is near the shortest
 // aim. From half of it on the pile grows; while the time falls, the last cut was enough.
