--- a/brain/brain.go
+++ b/brain/brain.go
@@ -78,7 +78,7 @@
 	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
 	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
 	for _, c := range s.Classes {
-		b.recover = max(b.recover, 8*c.Deadline)
+		b.recover = max(b.recover, 16*c.Deadline)
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
 		}
@@ -418,7 +418,7 @@
 		if b.shared(r, a, e.Took, true); e.Took >= aim {
 			b.strike(s, 2*aim)
 		}
-	case e.Outcome == Errored && s != b.erred:
+	case (e.Outcome == Errored || e.Outcome == Full) && s != b.erred:
 		b.shared(r, a, e.Took, false)
 		b.erred = s
 	case e.Outcome == Full || e.Outcome == Reset || e.Outcome == Errored: // twice in a row: its own fault
