Keep part of a limit for the requests of most worth; suspicion without single trials

Cause: when a fleet is short, whoever came first got the room. A limit now keeps three tenths for classes of most worth for their load and tenants in their share; errors, full answers and resets pace and strike alike; a suspect server comes back when its time is up.

--- a/brain/api.go
+++ b/brain/api.go
@@ -44,15 +44,16 @@
 
 // Settings is what a node is told at its start.
 type Settings struct {
-	Seed      uint64
-	Index     int // this node among its peers
-	GroupSize int // how many nodes there are
-	Zone      int
-	Classes   []Class
-	Tenants   []Tenant
-	Groups    bool // connections of one group share work on a server
-	Pass      bool // packets pass through: arrivals may be mid-flow
-	AskList   bool // the server list answers only when asked
+	Seed           uint64
+	Index          int // this node among its peers
+	GroupSize      int // how many nodes there are
+	Zone           int
+	Classes        []Class
+	Tenants        []Tenant
+	OverShareWorth float64 // worth of a request of a tenant over its share, as a part of its class's
+	Groups         bool    // connections of one group share work on a server
+	Pass           bool    // packets pass through: arrivals may be mid-flow
+	AskList        bool    // the server list answers only when asked
 
 	MaxAttempts   int // 0 for no limit
 	MayCancel     bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	// skipFactor is the design's: a server over this multiple of the mean is skipped.
-	skipFactor = 1.5
-	// skipFloor is the least number of own connections at which a server can be skipped.
-	skipFloor = 2
-	// noteSmooth is the part of one load note that moves the mean: some twenty notes set it.
+	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor
+	// own connections on.
+	skipFactor, skipFloor = 1.5, 2
+	// noteSmooth is the part of one load note that moves the means: some twenty notes set them.
 	noteSmooth = 0.05
 	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
 	paceOff = 16
@@ -61,22 +60,23 @@
 	unit                        float64   // mean load of a connection, 0 while no note has come
 	means                       []float64 // the same of each class
 	rate, placed                float64   // connections set up a second, and in the second that runs
-	secondAt                    time.Duration
 
-	gap, nextSend time.Duration // least time between paced sends, 0 for none
-	cutAt, pumpAt time.Duration
-	setup         time.Duration // what a set-up takes of late, over all servers
-	queue         []*request    // wait for their turn
-	erred         *server       // gave the last error
+	gap, nextSend, cutAt, pumpAt time.Duration // gap: least time between paced sends, 0 for none
+	setup                        time.Duration // what a set-up takes of late, over all servers
+	queue                        []*request    // wait for their turn
+	tenants                      []int         // open connections of each
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
+	secondAt                   time.Duration // when the second that runs began
 }
 
 // New starts a node that knows only its settings.
 func New(s Settings) *Brain {
 	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
 	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
+	b.set.Tenants = append(slices.Clip(s.Tenants), Tenant{}) // the last for requests of none
+	b.tenants = make([]int, len(b.set.Tenants))
 	for _, c := range s.Classes {
 		b.recover = max(b.recover, 16*c.Deadline)
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
@@ -94,6 +94,7 @@
 		b.askNotBy = now + b.jitter(b.set.AskWithin/20)
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
+	b.table.progress(now, b.set.DrainGrace, len(b.reqs) == 0)
 	switch e := ev.(type) {
 	case ListEvent:
 		b.listed(e)
@@ -137,6 +138,9 @@
 	if b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
 		return
 	}
+	if e.Tenant < 0 || e.Tenant >= len(b.tenants) {
+		e.Tenant = len(b.tenants) - 1
+	}
 	r := &request{Arrival: e, deadline: b.now + e.Left}
 	r.load = cmp.Or(b.means[e.Class], b.unit, 1) // until a note tells more
 	b.reqs[e.ID] = r
@@ -152,6 +156,7 @@
 	s.conns++
 	s.load += r.load
 	s.groups[r.Group]++
+	b.tenants[r.Tenant]++
 }
 
 func (b *Brain) drop(s *server, r *request) {
@@ -159,6 +164,7 @@
 	if s.load -= r.load; s.conns == 0 {
 		s.load = 0 // no drift from rounding
 	}
+	b.tenants[r.Tenant]--
 	if s.groups[r.Group]--; s.groups[r.Group] <= 0 {
 		delete(s.groups, r.Group)
 	}
@@ -266,13 +272,27 @@
 	}
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
 	b.take(s, r)
-	s.pending++
 	if b.coldness(s) < 1 {
 		s.tokens--
 	}
 	b.emit(Send{r.ID, s.id, left})
 }
 
+// value is what a request is worth for the load it brings, against the class that is worth most; a
+// tenant over its share of open connections, judged by this node's part of them, counts for little.
+func (b *Brain) value(r *request) float64 {
+	best := 1e-12
+	for i, c := range b.set.Classes {
+		best = max(best, c.Worth/cmp.Or(b.means[i], b.unit, 1))
+	}
+	own := b.set.Classes[r.Class].Worth / cmp.Or(b.means[r.Class], b.unit, 1)
+	share := b.set.Tenants[r.Tenant].Connections / float64(max(b.set.GroupSize, 1))
+	if share > 0 && float64(b.tenants[r.Tenant]) > share {
+		own *= b.set.OverShareWorth
+	}
+	return own / best
+}
+
 // slot is the request's place in the table: the hash of its client key, or of its group where the
 // settings say that connections of a group share work on a server.
 func (b *Brain) slot(r *request) int {
@@ -289,7 +309,6 @@
 	if len(b.table.first) == 0 {
 		return nil
 	}
-	b.table.progress(b.now, b.set.DrainGrace, len(b.reqs) == 0)
 	b.weigh()
 	at := b.slot(r)
 	first, second := b.table.hops(at)
@@ -320,7 +339,7 @@
 		switch {
 		case b.shunned(s) && !b.trusting:
 			k, v = 4, s.suspect.Seconds()
-		case b.full(s, load):
+		case b.full(s, r, load):
 			continue // one more would only make it late for all that it has
 		case b.over(s, load):
 			k, v = 3, b.bears(s)/b.carries(s)
@@ -380,30 +399,30 @@
 	}
 }
 
+// running finds an attempt that is still out; attempts of a request run one at a time.
+func (b *Brain) running(id RequestID, n int) (*request, *attempt) {
+	if r := b.reqs[id]; r != nil && n >= 0 && n == len(r.attempts)-1 && r.attempts[n].out {
+		return r, &r.attempts[n]
+	}
+	return nil, nil
+}
+
 func (b *Brain) opened(e Opened) {
-	r := b.reqs[e.ID]
-	if r == nil || r.conn != nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
-		return
+	if r, a := b.running(e.ID, e.Attempt); r != nil && r.conn == nil {
+		r.conn = a.to
+		b.placed++
+		b.shared(r, a, e.Took, true)
+		b.well(r.conn)
 	}
-	r.conn = r.attempts[e.Attempt].to
-	r.conn.pending--
-	b.placed++
-	b.shared(r, &r.attempts[e.Attempt], e.Took, true)
-	b.well(r.conn)
 }
 
 func (b *Brain) settled(e Settled) {
-	r := b.reqs[e.ID]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].out {
+	r, a := b.running(e.ID, e.Attempt)
+	if r == nil {
 		return
 	}
-	a := &r.attempts[e.Attempt]
 	a.out, a.safe = false, e.Outcome.ProvesUnrun()
-	s := a.to
-	stood := r.conn != nil
-	if !stood {
-		s.pending--
-	}
+	s, stood := a.to, r.conn != nil
 	aim := b.set.Classes[r.Class].SetupAim
 	switch {
 	case e.Outcome == Served:
@@ -418,10 +437,8 @@
 		if b.shared(r, a, e.Took, true); e.Took >= aim {
 			b.strike(s, 2*aim)
 		}
-	case (e.Outcome == Errored || e.Outcome == Full) && s != b.erred:
+	case e.Outcome == Errored || e.Outcome == Full || e.Outcome == Reset:
 		b.shared(r, a, e.Took, false)
-		b.erred = s
-	case e.Outcome == Full || e.Outcome == Reset || e.Outcome == Errored: // twice in a row: its own fault
 		b.strike(s, aim)
 	}
 	b.drop(s, r)
@@ -458,7 +475,7 @@
 	}
 }
 
-// sweep is the housekeeping: the table's changes, the rate, and the questions to the list.
+// sweep is the housekeeping: the rate, and the questions to the list.
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	if b.now >= b.secondAt+time.Second {
@@ -469,7 +486,6 @@
 		}
 		b.placed, b.secondAt = 0, b.now
 	}
-	b.table.progress(b.now, b.set.DrainGrace, len(b.reqs) == 0)
 	if b.set.AskList && !b.watching && b.now >= b.askNotBy && (!b.asking || b.now > b.askedAt+b.set.AskWithin) {
 		b.asking, b.askedAt = true, b.now
 		b.emit(Watch{})
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -19,14 +19,12 @@
 	parity     int
 	changedAt  time.Duration // when it began to drain or fill
 
-	conns   int            // open connections and attempts under way
-	load    float64        // their summed load
-	groups  map[string]int // of each group, how many of them
-	pending int            // attempts under way
+	conns  int            // open connections and attempts under way
+	load   float64        // their summed load
+	groups map[string]int // of each group, how many of them
 
-	strikes   int           // failures since the last success
-	suspect   time.Duration // skipped until then
-	probation bool          // one attempt at a time until one succeeds
+	strikes int           // failures since the last success
+	suspect time.Duration // skipped until then
 
 	limit   float64       // own load at which messages were last late, less slowCut; 0 for none
 	limitAt time.Duration // when that was
@@ -48,6 +46,8 @@
 	slowFloor = 0.1
 	// slowCut is the part of a server's load that a second of late messages takes off.
 	slowCut = 0.35
+	// reserve is the part of a limit that is kept for the requests of most worth for their load.
+	reserve = 0.3
 	// rateSmooth is the part of one second's count that moves the known rate of connections.
 	rateSmooth = 0.1
 )
@@ -89,7 +89,7 @@
 			b.servers[row.ID] = s
 		}
 		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
-			s.since, s.limit, s.peak, s.strikes, s.suspect, s.probation = row.Since, 0, 0, 0, 0, false
+			s.since, s.limit, s.peak, s.strikes, s.suspect = row.Since, 0, 0, 0, 0
 			s.tokens, s.refill = b.rng.Float64(), b.now
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
@@ -151,15 +151,13 @@
 
 // full reports whether a server has as much load as it was last seen not to cope with. The limit
 // grows to its double in twice the time a start takes to warm, so a server that was slow is tried again.
-func (b *Brain) full(s *server, load float64) bool {
-	grown := s.peak * float64(b.now-s.limitAt) / float64(b.recover)
-	return s.limit > 0 && b.bears(s)+load > s.limit+grown
+func (b *Brain) full(s *server, r *request, load float64) bool {
+	limit := s.limit + s.peak*float64(b.now-s.limitAt)/float64(b.recover)
+	return s.limit > 0 && b.bears(s)+load > limit*(1-reserve*(1-b.value(r)))
 }
 
-// shunned reports whether a server gets no new connection but a single trial one.
-func (b *Brain) shunned(s *server) bool {
-	return b.now < s.suspect || s.probation && s.pending > 0
-}
+// shunned reports whether a server that fails attempts gets no new connection for now.
+func (b *Brain) shunned(s *server) bool { return b.now < s.suspect }
 
 // over reports whether a server is past the skip bound: more than skipFactor times the mean load
 // for its weight, and more than skipFloor connections.
@@ -168,9 +166,8 @@
 	return s.conns >= skipFloor && b.bears(s)+load > skipFactor*(b.load+load)*w/max(b.usable, w)
 }
 
-// affords reports whether this node's share of a cold server's budget covers one more connection.
-// The budget in every window is FallMultiple times the present capacity. Capacity is judged by the
-// rate of connections that this node places for the weight, which is its own share already.
+// affords reports whether this node's share of a cold server's budget, FallMultiple times its present
+// capacity, covers one more connection. Capacity is judged by what this node places for the weight.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 {
@@ -185,7 +182,6 @@
 // strike notes a failed attempt. The time shut out doubles with each, up to the time a start takes.
 func (b *Brain) strike(s *server, base time.Duration) {
 	s.strikes++
-	s.probation = true
 	s.suspect = max(s.suspect, b.now+min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base))
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
@@ -193,7 +189,7 @@
 }
 
 // well notes a success.
-func (b *Brain) well(s *server) { s.strikes, s.suspect, s.probation = 0, 0, false }
+func (b *Brain) well(s *server) { s.strikes, s.suspect = 0, 0 }
 
 // slow takes in how long messages take at a server, told each second while that is near the shortest
 // aim. From half of it on the pile grows; while the time falls, the last cut was enough.
--- a/brain/table.go
+++ b/brain/table.go
@@ -15,12 +15,7 @@
 // nodeState is a server's state in the table (the source's four states).
 type nodeState uint8
 
-const (
-	inactive nodeState = iota
-	active
-	draining
-	filling
-)
+const inactive, active, draining, filling nodeState = 0, 1, 2, 3
 
 // table holds the first and second hops. It is built and changed only from the server list, so
 // nodes that saw the same changes hold the same table.
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -19,11 +19,12 @@
 
 // facts is the part of the settings that the module uses; the rest is ignored.
 type facts struct {
-	Index        int    `json:"index"`
-	GroupSize    int    `json:"groupSize"`
-	Zone         int    `json:"zone"`
-	RegistryMode string `json:"registryMode"`
-	Lanes        []struct {
+	Index          int     `json:"index"`
+	GroupSize      int     `json:"groupSize"`
+	Zone           int     `json:"zone"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	RegistryMode   string  `json:"registryMode"`
+	Lanes          []struct {
 		Aim       ms      `json:"aim"`
 		Deadline  ms      `json:"deadline"`
 		Semantics string  `json:"semantics"`
@@ -72,7 +73,8 @@
 	}
 	s := brain.Settings{
 		Seed: seed, Index: f.Index, GroupSize: f.GroupSize, Zone: f.Zone,
-		Groups: f.Domain.Groups, Pass: f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
+		OverShareWorth: f.OverShareWorth,
+		Groups:         f.Domain.Groups, Pass: f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
 		MaxAttempts: f.Limits.MaxAttempts, MayCancel: f.Limits.Cancel, MayProbe: f.Limits.Probes,
 		MayTell: f.Limits.MayTell, RetryAfter: f.Limits.RetryAfter, MaxRetryAfter: f.Limits.MaxRetryAfter.duration(),
 		DrainGrace: f.Rules.StopSendingWithin.duration(), ColdShare: f.Rules.ColdShare,
