Cut a server's load by the slope of its message times

The message time grows by what is asked beyond what the server can do, so the slope gives the cut, aiming at 0.85 of that.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,8 +16,7 @@
 	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor
 	// own connections on.
 	skipFactor, skipFloor = 1.5, 2
-	// noteSmooth is the part of one load note that moves the means: some twenty notes set them.
-	noteSmooth = 0.05
+	noteSmooth            = 0.05 // the part of one load note that moves the means: some twenty notes set them
 	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
 	paceOff = 16
 	// sweepEvery is the pace of housekeeping, pumpEvery how early a late turn is given up.
@@ -192,6 +191,9 @@
 	*m = cmp.Or(*m, load)
 	*m += noteSmooth * (load - *m)
 	b.unit += noteSmooth * (load - b.unit)
+	if b.set.Groups {
+		b.group = b.unit // the settings tell that a group has its price, not which: one mean load
+	}
 }
 
 // try sends a request to the next server, lets it wait its turn where set-ups are paced, or gives it
@@ -429,7 +431,7 @@
 		b.well(s)
 	case e.Outcome == Reset && stood:
 		if b.now > s.limitAt+time.Second {
-			b.cut(s) // dropped for its crowd, or about to refuse connections
+			b.cut(s, mostCut) // dropped for its crowd, or about to refuse connections
 		}
 	case e.Outcome == NoConnect:
 		b.strike(s, 2*aim)
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -26,10 +26,10 @@
 	strikes int           // failures since the last success
 	suspect time.Duration // skipped until then
 
-	limit   float64       // own load at which messages were last late, less slowCut; 0 for none
-	limitAt time.Duration // when that was
-	peak    float64       // the most load it had of late: the limit grows by that much in a recovery
-	message time.Duration // how long messages took then
+	limit              float64       // own load that it was last cut to, 0 for none
+	limitAt            time.Duration // when that was
+	message, messageAt time.Duration // how long messages took, and when that was told
+	peak               float64       // the most load it had of late: the limit grows by that much in a recovery
 
 	tokens  float64 // cold budget left, in connections, as of refill
 	refill  time.Duration
@@ -41,15 +41,12 @@
 	coldMargin = 0.5
 	// ejectable is the share of the fleet that suspicion may shut out at once: more is no server's fault.
 	ejectable = 0.5
-	// slowFloor keeps a slow server in sight: with this part of its share it still gets a connection
-	// now and then, whose notes tell when it is well again.
-	slowFloor = 0.1
 	// slowCut is the part of a server's load that a second of late messages takes off.
-	slowCut = 0.35
+	slowCut           = 0.35
+	headroom, mostCut = 0.85, 0.5
 	// reserve is the part of a limit that is kept for the requests of most worth for their load.
-	reserve = 0.3
-	// rateSmooth is the part of one second's count that moves the known rate of connections.
-	rateSmooth = 0.1
+	reserve    = 0.15
+	rateSmooth = 0.1 // the part of one second's count that moves the known rate of connections
 )
 
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that
@@ -124,10 +121,7 @@
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
 	shut := 0.0
-	b.load, b.usable, b.weight, b.group = 0, 0, 0, 0
-	if b.set.Groups {
-		b.group = b.unit // the settings tell that a group has its price, not which: one mean load
-	}
+	b.load, b.usable, b.weight = 0, 0, 0
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
@@ -192,19 +186,23 @@
 func (b *Brain) well(s *server) { s.strikes, s.suspect = 0, 0 }
 
 // slow takes in how long messages take at a server, told each second while that is near the shortest
-// aim. From half of it on the pile grows; while the time falls, the last cut was enough.
+// aim. The time grows by what is asked beyond what the server can do and falls by what is spare, so its
+// slope tells how far to cut: while a backlog drains fast enough, not at all.
 func (b *Brain) slow(s *server, message time.Duration) {
-	if message > b.aim/2 && (message >= s.message || b.now > s.limitAt+2*time.Second) {
-		b.cut(s)
+	was, span := s.message, b.now-s.messageAt
+	if span > 2*time.Second || span <= 0 {
+		was, span = 0, time.Second
+	}
+	s.message, s.messageAt = message, b.now
+	keep := headroom / max(headroom/2, 1+float64(message-was)/float64(span))
+	if message > b.aim/2 && keep < 1 {
+		b.cut(s, max(keep, mostCut))
 	}
-	s.message = message
 }
 
 // cut lowers the load that a server may have and sends what is over it to where there is room.
-func (b *Brain) cut(s *server) {
-	b.weigh()
-	floor := slowFloor * b.load * s.weight / max(b.usable, s.weight)
-	s.peak = max(b.bears(s), s.peak*(1-slowCut/4))
-	s.limit, s.limitAt = max(floor, b.bears(s)*(1-slowCut)), b.now
+func (b *Brain) cut(s *server, keep float64) {
+	s.peak = max(b.bears(s), s.peak*headroom)
+	s.limit, s.limitAt = b.bears(s)*keep, b.now
 	b.relieve(s)
 }
--- /dev/null
+++ b/brain/load_test.go
@@ -0,0 +1,147 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// crowded is a node with n open connections of class 0 on each of its two servers.
+func crowded(t *testing.T, s Settings, n int) (*Brain, *server) {
+	t.Helper()
+	b := New(s)
+	b.Handle(0, ListEvent{Kind: ListCached, Servers: []Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}})
+	for i := range 2 * n {
+		id := RequestID(fmt.Sprint("open", i))
+		on := ServerID("ab"[i%2 : i%2+1])
+		b.Handle(0, Inherited{Arrival: Arrival{ID: id, Key: fmt.Sprint(i), Left: time.Hour}, Server: on})
+		b.Handle(0, LoadNote{ID: id, Load: 100})
+	}
+	return b, b.servers["a"]
+}
+
+func moves(actions []Action) (out []RequestID) {
+	for _, a := range actions {
+		if m, ok := a.(Move); ok {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// A server on which every message is late earns nothing with any connection: the slope of the message
+// time tells what it copes with, and what is over goes elsewhere.
+func TestLateMessagesCutAServersLoad(t *testing.T) {
+	b, s := crowded(t, testSettings(), 20)
+	// Half a second of work piles up in a second: it is asked 1.5 times what it can do.
+	out := b.Handle(time.Second, SlowNote{ID: "open0", Message: 500 * ms})
+	if want := 2000 * headroom / 1.5; s.limit < want*0.99 || s.limit > want*1.01 {
+		t.Errorf("limit %.0f, want %.0f", s.limit, want)
+	}
+	if n := len(moves(out)); n != 9 {
+		t.Errorf("%d of 20 connections moved, want 9", n)
+	}
+	// The backlog falls by a third of a second in a second: that is fast enough.
+	before := s.limit
+	if out := b.Handle(2*time.Second, SlowNote{ID: "open0", Message: 160 * ms}); len(moves(out)) != 0 || s.limit != before {
+		t.Error("a backlog that drains was answered with another cut")
+	}
+	// Long after, the limit has grown back.
+	b.now = 2*time.Second + b.recover
+	if b.full(s, &request{}, 100) {
+		t.Error("the limit does not grow back")
+	}
+}
+
+// When the whole fleet is short, taking everyone serves no one: what does not fit is refused at once,
+// the classes of least worth for their load first.
+func TestShortFleetRefusesAtOnceLeastWorthFirst(t *testing.T) {
+	set := testSettings()
+	set.Classes[1].Worth = 1
+	b, _ := crowded(t, set, 20)
+	b.means[0], b.means[1] = 100, 1000 // the second class asks ten times as much for the same worth
+	for _, id := range []RequestID{"open0", "open1"} {
+		b.Handle(time.Second, SlowNote{ID: id, Message: 400 * ms})
+	}
+	fits := func(class int) bool {
+		r := &request{Arrival: Arrival{Class: class, Tenant: len(b.tenants) - 1}}
+		return !b.full(b.servers["a"], r, 100) || !b.full(b.servers["b"], r, 100)
+	}
+	for _, s := range b.servers {
+		s.load = 0.92 * s.limit
+		s.limit += 100
+	}
+	if !fits(0) || fits(1) {
+		t.Errorf("near its limit a server fits class 0: %v, class 1: %v; want true, false", fits(0), fits(1))
+	}
+	for _, s := range b.servers {
+		s.load = 2 * s.limit
+	}
+	out := b.Handle(time.Second+ms, Arrival{ID: "late", Key: "k", Left: time.Second})
+	if n, refused := finals(out, "late"); n != 1 || !refused || len(sends(out)) != 0 {
+		t.Error("with all servers at their limit the request must be refused at once")
+	}
+	for _, a := range out {
+		if r, ok := a.(Refuse); ok && r.RetryAfter <= 0 {
+			t.Error("the refusal does not say when to come back")
+		}
+	}
+}
+
+func TestTenantOverItsShareCountsForLittle(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{Connections: 9}, {Connections: 0}}
+	set.OverShareWorth = 0.1
+	b := started(t, set, 6)
+	r := &request{Arrival: Arrival{Tenant: 0}}
+	b.tenants[0] = 3 // its share over three nodes
+	if v := b.value(r); v != 1 {
+		t.Errorf("value %.2f within the share, want 1", v)
+	}
+	b.tenants[0] = 4
+	if v := b.value(r); v < 0.09 || v > 0.11 {
+		t.Errorf("value %.2f over the share, want 0.1", v)
+	}
+	b.tenants[1] = 1000
+	if v := b.value(&request{Arrival: Arrival{Tenant: 1}}); v != 1 {
+		t.Errorf("value %.2f for a tenant without a known share, want 1", v)
+	}
+	// Tenants that the settings do not know are no fault.
+	for i, tenant := range []int{-3, 2, 99} {
+		id := RequestID(fmt.Sprint("t", i))
+		if out := sends(b.Handle(0, Arrival{ID: id, Tenant: tenant, Key: "k", Left: time.Second})); len(out) != 1 {
+			t.Errorf("a request of tenant %d was not sent", tenant)
+		}
+	}
+}
+
+// A group is paid for on every server that holds it: on a skip it stays where it is held.
+func TestSkippedConnectionGoesWhereItsGroupIsHeld(t *testing.T) {
+	set := testSettings()
+	set.Groups = true
+	b := started(t, set, 8)
+	home := b.table.first[b.slot(&request{Arrival: Arrival{Group: "g"}})]
+	var holder *server
+	for _, s := range b.table.holders {
+		if s != home {
+			holder = s
+		}
+	}
+	for i := range 6 {
+		b.arrive(Arrival{ID: RequestID(fmt.Sprint("h", i)), Left: time.Second}, home)
+	}
+	b.arrive(Arrival{ID: "held", Group: "g", Left: time.Second}, holder)
+	for i, s := range b.table.holders {
+		if s != home && s != holder {
+			b.arrive(Arrival{ID: RequestID(fmt.Sprint("x", i)), Left: time.Second}, s)
+		}
+	}
+	b.weigh()
+	if !b.over(home, 1) {
+		t.Fatal("the group's first hop is not over the bound")
+	}
+	out := sends(b.Handle(0, Arrival{ID: "r", Group: "g", Key: "k", Left: time.Second}))
+	if len(out) != 1 || out[0].Server != holder.id {
+		t.Errorf("sent to %v, want %s, which holds the group", out, holder.id)
+	}
+}
