--- a/brain/brain.go
+++ b/brain/brain.go
@@ -434,10 +434,10 @@
 			b.cut(s, mostCut) // dropped for its crowd, or about to refuse connections
 		}
 	case e.Outcome == NoConnect:
-		b.strike(s, 2*aim)
+		b.strike(s, 4*aim)
 	case e.Outcome == NoAnswer:
-		if b.shared(r, a, e.Took, true); e.Took >= aim {
-			b.strike(s, 2*aim)
+		if b.shared(r, a, min(e.Took, aim), true); e.Took >= aim {
+			b.strike(s, 4*aim)
 		}
 	case e.Outcome == Errored || e.Outcome == Full || e.Outcome == Reset:
 		b.shared(r, a, e.Took, false)
