In a short fleet, servers this node has not seen crowded count as the others

Where over half of the weight was limited of late, a server without a limit now takes the mean limit for its weight and the headroom.

--- a/brain/api.go
+++ b/brain/api.go
@@ -51,7 +51,6 @@
 	Classes        []Class
 	Tenants        []Tenant
 	OverShareWorth float64 // worth of a request of a tenant over its share, as a part of its class's
-	Groups         bool    // connections of one group share work on a server
 	Pass           bool    // packets pass through: arrivals may be mid-flow
 	AskList        bool    // the server list answers only when asked
 
@@ -59,8 +58,7 @@
 	MayCancel     bool
 	MayProbe      bool
 	MayTell       bool
-	RetryAfter    bool // clients are told when to come back
-	MaxRetryAfter time.Duration
+	MaxRetryAfter time.Duration // the longest that a client stays away; 0 where it can't be told
 
 	DrainGrace   time.Duration // nothing new to a draining server after it
 	ColdShare    float64       // a started server's first share of capacity
@@ -123,7 +121,7 @@
 		Class   int
 		Tenant  int
 		Key     string // the client
-		Group   string // the client's group, "" for none
+		Group   string // its connections share work on a server; "" for none
 		Left    time.Duration
 		Load    float64 // expected load, 0 where unknown
 		Retry   bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,11 +54,12 @@
 	reqs         map[RequestID]*request
 	walks        uint64
 
-	load, usable, weight, group float64   // summed by weigh: load, weight good for now, listed weight
-	trusting                    bool      // too much is suspect: suspicion is set aside
-	unit                        float64   // mean load of a connection, 0 while no note has come
-	means                       []float64 // the same of each class
-	rate, placed                float64   // connections set up a second, and in the second that runs
+	load, usable, weight, limits, limitedWeight float64   // summed by weigh
+	group                                       float64   // what a group costs a server that holds it
+	trusting                                    bool      // too much is suspect: suspicion is set aside
+	unit                                        float64   // mean load of a connection, 0 while no note has come
+	means                                       []float64 // the same of each class
+	rate, placed                                float64   // connections set up a second, and in the second that runs
 
 	gap, nextSend, cutAt, pumpAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                        time.Duration // what a set-up takes of late, over all servers
@@ -191,7 +192,7 @@
 	*m = cmp.Or(*m, load)
 	*m += noteSmooth * (load - *m)
 	b.unit += noteSmooth * (load - b.unit)
-	if b.set.Groups {
+	if r.Group != "" {
 		b.group = b.unit // the settings tell that a group has its price, not which: one mean load
 	}
 }
@@ -260,7 +261,7 @@
 
 func (b *Brain) send(r *request, left time.Duration) {
 	var s *server
-	if left > 0 && (b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts) {
+	if left > 0 && len(b.table.first) > 0 && (b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts) {
 		s = b.place(r)
 	}
 	if s == nil {
@@ -295,22 +296,15 @@
 	return own / best
 }
 
-// slot is the request's place in the table: the hash of its client key, or of its group where the
-// settings say that connections of a group share work on a server.
+// slot is the request's place in the table: the hash of its client key, or of its group where there
+// are groups, as connections of a group share work on a server.
 func (b *Brain) slot(r *request) int {
-	key := r.Key
-	if b.set.Groups && r.Group != "" {
-		key = r.Group
-	}
-	return int(xxhash.Sum64String(key) % uint64(len(b.table.first)))
+	return int(xxhash.Sum64String(cmp.Or(r.Group, r.Key)) % uint64(len(b.table.first)))
 }
 
 // place picks the server: the first hop, or the second for a mid-flow arrival while the entry
 // changes; where that one is barred, the walk goes on to the next entry that names another server.
 func (b *Brain) place(r *request) *server {
-	if len(b.table.first) == 0 {
-		return nil
-	}
 	b.weigh()
 	at := b.slot(r)
 	first, second := b.table.hops(at)
@@ -379,9 +373,6 @@
 	for i := range r.attempts {
 		harmless = harmless && (r.attempts[i].safe || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll)
 	}
-	if !b.set.RetryAfter {
-		wait = 0
-	}
 	if harmless {
 		b.emit(Refuse{r.ID, min(wait, b.set.MaxRetryAfter)})
 	} else {
@@ -481,8 +472,7 @@
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	if b.now >= b.secondAt+time.Second {
-		// One second's count of placed connections is cut to twice what is known, so that a wave of
-		// returning clients does not pass for capacity; and a jam says nothing of the usual rate.
+		// A wave of returning clients does not pass for capacity, nor a jam for the usual rate.
 		if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate {
 			b.rate += rateSmooth * (n - b.rate)
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -12,7 +12,7 @@
 func testSettings() Settings {
 	return Settings{
 		Seed: 1, GroupSize: 3, AskList: true, Pass: true, MaxAttempts: 4, MayCancel: true,
-		RetryAfter: true, MaxRetryAfter: 2 * time.Second, DrainGrace: time.Second, ColdShare: 0.25,
+		MaxRetryAfter: 2 * time.Second, DrainGrace: time.Second, ColdShare: 0.25,
 		WarmWithin: 10 * time.Second, FallMultiple: 3, FallWindow: time.Second, AskWithin: 10 * time.Second,
 		Classes: []Class{
 			{SetupAim: 300 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms, Worth: 1},
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -121,12 +121,16 @@
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
 	shut := 0.0
-	b.load, b.usable, b.weight = 0, 0, 0
+	b.load, b.usable, b.weight, b.limits, b.limitedWeight = 0, 0, 0, 0, 0
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
 		}
 		b.weight += s.weight
+		if s.limit > 0 && b.now < s.limitAt+b.recover/4 {
+			b.limits += s.limit
+			b.limitedWeight += s.weight
+		}
 		if b.shunned(s) {
 			shut += s.weight
 		} else {
@@ -143,11 +147,16 @@
 // carries is the weight a server is good for now.
 func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
-// full reports whether a server has as much load as it was last seen not to cope with. The limit
-// grows to its double in twice the time a start takes to warm, so a server that was slow is tried again.
+// full reports whether a server has as much load as it was last seen not to cope with. The limit grows
+// back, so that a server that was slow is tried again. Where most of the fleet was limited of late, a
+// server that this node has not seen crowded is taken to cope with little more than the others: with
+// many nodes each has few connections there to tell.
 func (b *Brain) full(s *server, r *request, load float64) bool {
 	limit := s.limit + s.peak*float64(b.now-s.limitAt)/float64(b.recover)
-	return s.limit > 0 && b.bears(s)+load > limit*(1-reserve*(1-b.value(r)))
+	if s.limit == 0 && b.limitedWeight > ejectable*b.weight {
+		limit = b.limits * s.weight / b.limitedWeight / headroom
+	}
+	return limit > 0 && b.bears(s)+load > limit*(1-reserve*(1-b.value(r)))
 }
 
 // shunned reports whether a server that fails attempts gets no new connection for now.
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -117,9 +117,7 @@
 
 // A group is paid for on every server that holds it: on a skip it stays where it is held.
 func TestSkippedConnectionGoesWhereItsGroupIsHeld(t *testing.T) {
-	set := testSettings()
-	set.Groups = true
-	b := started(t, set, 8)
+	b := started(t, testSettings(), 8)
 	home := b.table.first[b.slot(&request{Arrival: Arrival{Group: "g"}})]
 	var holder *server
 	for _, s := range b.table.holders {
@@ -145,3 +143,28 @@
 		t.Errorf("sent to %v, want %s, which holds the group", out, holder.id)
 	}
 }
+
+// With many nodes each has few connections on a server, and hears nothing of servers where it has
+// none: where most are limited, the rest are taken to cope with little more.
+func TestUnseenServersCountAsTheOthersInAShortFleet(t *testing.T) {
+	b := started(t, testSettings(), 4)
+	r := &request{Arrival: Arrival{Tenant: 0}}
+	b.now = time.Minute
+	for i, s := range b.table.holders {
+		if b.weigh(); b.full(s, r, 300) {
+			t.Fatalf("server %d counts as full, %d are limited", i, i)
+		}
+		s.limit, s.limitAt = 100*s.weight, b.now
+		if i == 2 {
+			break
+		}
+	}
+	b.weigh()
+	if unseen := b.table.holders[3]; !b.full(unseen, r, 300) || b.full(unseen, r, 50) {
+		t.Error("a server that was not seen takes what no other copes with")
+	}
+	b.now += b.recover
+	if b.weigh(); b.full(b.table.holders[3], r, 300) {
+		t.Error("old limits of others still count")
+	}
+}
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -34,7 +34,6 @@
 	} `json:"lanes"`
 	Customers []struct{} `json:"customers"`
 	Domain    struct {
-		Groups     bool      `json:"groups"`
 		MessageAim []ms      `json:"messageAim"`
 		Mode       string    `json:"mode"`
 		TenantOpen []float64 `json:"tenantQuotaConnections"`
@@ -74,13 +73,16 @@
 	s := brain.Settings{
 		Seed: seed, Index: f.Index, GroupSize: f.GroupSize, Zone: f.Zone,
 		OverShareWorth: f.OverShareWorth,
-		Groups:         f.Domain.Groups, Pass: f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
+		Pass:           f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
 		MaxAttempts: f.Limits.MaxAttempts, MayCancel: f.Limits.Cancel, MayProbe: f.Limits.Probes,
-		MayTell: f.Limits.MayTell, RetryAfter: f.Limits.RetryAfter, MaxRetryAfter: f.Limits.MaxRetryAfter.duration(),
+		MayTell:    f.Limits.MayTell,
 		DrainGrace: f.Rules.StopSendingWithin.duration(), ColdShare: f.Rules.ColdShare,
 		WarmWithin: f.Rules.WarmWithin.duration(), FallMultiple: f.Rules.FallMultiple,
 		FallWindow: f.Rules.OverloadFor.duration(), AskWithin: f.Rules.AskWithin.duration(),
 	}
+	if f.Limits.RetryAfter {
+		s.MaxRetryAfter = f.Limits.MaxRetryAfter.duration()
+	}
 	for _, bound := range []struct {
 		name     string
 		v, least float64
