--- a/brain/brain.go
+++ b/brain/brain.go
@@ -420,10 +420,7 @@
 	switch {
 	case e.Outcome == Served:
 		b.well(s)
-	case e.Outcome == Reset && stood:
-		if b.now > s.limitAt+time.Second {
-			b.cut(s, mostCut) // dropped for its crowd, or about to refuse connections
-		}
+	case e.Outcome == Reset && stood: // its crowd shows in late messages, its death in failed connects
 	case e.Outcome == NoConnect:
 		b.strike(s, 4*aim)
 	case e.Outcome == NoAnswer:
