--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -300,7 +300,7 @@
 			}
 		}
 	}
-	// Two seconds at coldMargin*FallMultiple*share*rate*weight share, and the first token.
+	// Two seconds at FallMultiple*share*rate*weight share, and the first token.
 	if n > 2 {
 		t.Errorf("a cold server got %d connections of a wave in 2 s", n)
 	}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -37,8 +37,6 @@
 }
 
 const (
-	// coldMargin is the part of the rule's budget that is used: the rest is for chance in the loads.
-	coldMargin = 0.5
 	// ejectable is the share of the fleet that suspicion may shut out at once: more is no server's fault.
 	ejectable = 0.5
 	// slowCut is the part of a server's load that a second of late messages takes off.
@@ -170,13 +168,14 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. Capacity is judged by what this node places for the weight.
+// capacity, covers one more connection. Capacity is judged by what this node places for the weight:
+// what servers carry is less than what they could, and that is the margin.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 {
 		return true
 	}
-	rate := coldMargin * b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
+	rate := b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
 	s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
 	s.refill = b.now
 	return s.tokens >= 1
