In a short fleet a group stays where it is or near its entry

Where over half of the weight was limited of late, a group may newly stand on the first two servers from its entry only; past them the request is refused at once.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	groupReach = 2 // how many servers from its entry on a group may newly stand on in a short fleet
 	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor
 	// own connections on.
 	skipFactor, skipFloor = 1.5, 2
@@ -56,10 +57,10 @@
 
 	load, usable, weight, limits, limitedWeight float64   // summed by weigh
 	group                                       float64   // what a group costs a server that holds it
-	trusting                                    bool      // too much is suspect: suspicion is set aside
+	trusting, short                             bool      // most is suspect, so it is set aside; most is limited
 	unit                                        float64   // mean load of a connection, 0 while no note has come
 	means                                       []float64 // the same of each class
-	rate, placed                                float64   // connections set up a second, and in the second that runs
+	rate, placed                                float64   // set-ups a second, and in the second that runs
 
 	gap, nextSend, cutAt, pumpAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                        time.Duration // what a set-up takes of late, over all servers
@@ -317,20 +318,24 @@
 	b.walks++
 	var best *server
 	var rank, value float64
+	near := groupReach
 	for i, left := 0, len(b.table.holders); i < len(b.table.first) && left > 0; i++ {
 		s := b.table.first[(at+i)%len(b.table.first)]
 		if s == nil || s.visited == b.walks {
 			continue
 		}
-		s.visited = b.walks
-		left--
+		s.visited, left = b.walks, left-1
 		if !b.allowed(r, s) || !b.affords(s) {
 			continue
 		}
-		load := r.load
-		if s.groups[r.Group] == 0 {
+		load, held := r.load, r.Group != "" && s.groups[r.Group] > 0
+		if !held {
 			load += b.group
 		}
+		// A group that scatters is paid for on every server, which a short fleet can't bear.
+		if near--; near < 0 && b.short && !held && r.Group != "" {
+			continue
+		}
 		k, v := 2.0, 0.0 // the next entry that names another server
 		switch {
 		case b.shunned(s) && !b.trusting:
@@ -341,7 +346,7 @@
 			k, v = 3, b.bears(s)/b.carries(s)
 		case i == 0:
 			return s
-		case r.Group != "" && s.groups[r.Group] > 0:
+		case held:
 			k = 1 // a skipped connection goes where its group is paid for already
 		}
 		if best == nil || k < rank || k == rank && v < value {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -37,8 +37,7 @@
 }
 
 const (
-	// ejectable is the share of the fleet that suspicion may shut out at once: more is no server's fault.
-	ejectable = 0.5
+	ejectable = 0.5 // the share of the fleet that suspicion may shut out: more is no server's fault
 	// slowCut is the part of a server's load that a second of late messages takes off.
 	slowCut           = 0.35
 	headroom, mostCut = 0.85, 0.5
@@ -136,7 +135,7 @@
 			b.usable += b.carries(s)
 		}
 	}
-	b.trusting = shut > ejectable*b.weight
+	b.trusting, b.short = shut > ejectable*b.weight, b.limitedWeight > ejectable*b.weight
 }
 
 // bears is the load that a server has of this node, the groups it holds counted in.
@@ -151,7 +150,7 @@
 // many nodes each has few connections there to tell.
 func (b *Brain) full(s *server, r *request, load float64) bool {
 	limit := s.limit + s.peak*float64(b.now-s.limitAt)/float64(b.recover)
-	if s.limit == 0 && b.limitedWeight > ejectable*b.weight {
+	if s.limit == 0 && b.short {
 		limit = b.limits * s.weight / b.limitedWeight / headroom
 	}
 	return limit > 0 && b.bears(s)+load > limit*(1-reserve*(1-b.value(r)))
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -168,3 +168,41 @@
 		t.Error("old limits of others still count")
 	}
 }
+
+// In a short fleet a group that walked on would be paid for on every server: it may newly stand on
+// the first servers from its entry only, and the request is refused past them.
+func TestGroupStaysNearItsEntryInAShortFleet(t *testing.T) {
+	b := started(t, testSettings(), 8)
+	b.now = time.Minute
+	r := &request{Arrival: Arrival{Group: "g", Key: "k"}, load: 1}
+	var near []*server
+	for i := b.slot(r); len(near) < groupReach+1; i++ {
+		if s := b.table.first[i%len(b.table.first)]; len(near) == 0 || near[len(near)-1] != s && near[0] != s {
+			near = append(near, s)
+		}
+	}
+	for _, s := range b.table.holders {
+		s.limit, s.limitAt = 100, b.now
+	}
+	for i, s := range near[:groupReach] {
+		if got := b.place(r); got != s {
+			t.Fatalf("choice %d is %v, want %s", i, got, s.id)
+		}
+		s.load = 100 // it has no room left
+	}
+	if got := b.place(r); got != nil {
+		t.Errorf("the group went on to %s", got.id)
+	}
+	near[groupReach].groups["g"] = 1
+	if got := b.place(r); got != near[groupReach] {
+		t.Error("the group is not put where it stands already")
+	}
+	for _, s := range b.table.holders {
+		delete(s.groups, "g")
+		s.limitAt = 0 // long ago: the fleet is not short
+		s.limit = 0
+	}
+	if got := b.place(r); got == nil {
+		t.Error("in a fleet with room the walk must go on")
+	}
+}
