Settings not met yet: requests without keys, no set-up aim, no message aim

Cause: module tests with bare settings: requests without a key all hashed to one entry, and a class without a set-up aim counted every set-up as slow. The constants of fleet.go are named and explained in one place; a leftover one is gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -65,7 +65,7 @@
 	gap, nextSend, cutAt, pumpAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                        time.Duration // what a set-up takes of late, over all servers
 	queue                        []*request    // wait for their turn
-	tenants                      []int         // open connections of each
+	tenants                      []int         // open connections of each, the last for requests of none
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
@@ -76,10 +76,11 @@
 func New(s Settings) *Brain {
 	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
 	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
-	b.set.Tenants = append(slices.Clip(s.Tenants), Tenant{}) // the last for requests of none
-	b.tenants = make([]int, len(b.set.Tenants))
-	for _, c := range s.Classes {
-		b.recover = max(b.recover, 16*c.Deadline)
+	b.set.Tenants, b.tenants = append(slices.Clip(s.Tenants), Tenant{}), make([]int, len(s.Tenants)+1)
+	b.set.Classes = slices.Clone(s.Classes)
+	for i, c := range s.Classes {
+		b.set.Classes[i].SetupAim = cmp.Or(c.SetupAim, c.Deadline, time.Second) // none told: no hurry
+		b.recover = max(b.recover, recovery*c.Deadline)
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
 		}
@@ -298,9 +299,9 @@
 }
 
 // slot is the request's place in the table: the hash of its client key, or of its group where there
-// are groups, as connections of a group share work on a server.
+// are groups, as connections of a group share work on a server; of its own id where it has neither.
 func (b *Brain) slot(r *request) int {
-	return int(xxhash.Sum64String(cmp.Or(r.Group, r.Key)) % uint64(len(b.table.first)))
+	return int(xxhash.Sum64String(cmp.Or(r.Group, r.Key, string(r.ID))) % uint64(len(b.table.first)))
 }
 
 // place picks the server: the first hop, or the second for a mid-flow arrival while the entry
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -38,12 +38,12 @@
 
 const (
 	ejectable = 0.5 // the share of the fleet that suspicion may shut out: more is no server's fault
-	// slowCut is the part of a server's load that a second of late messages takes off.
-	slowCut           = 0.35
+	// A cut aims at headroom, a part of what the server can do, and leaves mostCut at the least, as the
+	// message times of a second are a rough measure.
 	headroom, mostCut = 0.85, 0.5
-	// reserve is the part of a limit that is kept for the requests of most worth for their load.
-	reserve    = 0.15
-	rateSmooth = 0.1 // the part of one second's count that moves the known rate of connections
+	reserve           = 0.15 // the part of a limit that is kept for requests of most worth for their load
+	recovery          = 16   // longest deadlines in which a limit grows back: clients' own measure of long
+	rateSmooth        = 0.1  // the part of one second's count that moves the known rate of connections
 )
 
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that
@@ -202,7 +202,7 @@
 	}
 	s.message, s.messageAt = message, b.now
 	keep := headroom / max(headroom/2, 1+float64(message-was)/float64(span))
-	if message > b.aim/2 && keep < 1 {
+	if b.aim > 0 && message > b.aim/2 && keep < 1 {
 		b.cut(s, max(keep, mostCut))
 	}
 }
--- /dev/null
+++ b/brain/settings_test.go
@@ -0,0 +1,71 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Settings that no deployment has yet: the module must go on sensibly with what it is told.
+func TestUnmetSettings(t *testing.T) {
+	bare := Settings{Classes: []Class{{}}}
+	for _, c := range []struct {
+		name    string
+		set     func(*Settings)
+		servers int
+		served  int // of 60 requests, at least
+	}{
+		{"nothing but a class", func(s *Settings) { *s = bare }, 3, 60},
+		{"one server", func(*Settings) {}, 1, 60},
+		{"no limit of attempts", func(s *Settings) { s.MaxAttempts = 0 }, 5, 60},
+		{"a pushed list, connections that end here", func(s *Settings) { s.AskList, s.Pass = false, false }, 5, 60},
+		{"no peers told", func(s *Settings) { s.GroupSize = 0 }, 5, 60},
+		{"no warm-up", func(s *Settings) { s.WarmWithin, s.ColdShare = 0, 0 }, 5, 60},
+		{"no message aims", func(s *Settings) { s.Classes[0].MessageAim = 0 }, 5, 60},
+		{"no set-up aim", func(s *Settings) { s.Classes[0].SetupAim = 0 }, 5, 60},
+		{"no server", func(*Settings) {}, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testSettings()
+			c.set(&s)
+			b := New(s)
+			b.Handle(0, ListEvent{Kind: ListCached, Servers: fleetOf(c.servers)})
+			served := 0
+			for i := range 60 {
+				now := time.Duration(i) * 100 * ms
+				id := RequestID(fmt.Sprint("r", i))
+				out := b.Handle(now, Arrival{ID: id, Left: time.Second})
+				if n, _ := finals(out, id); n+len(sends(out)) != 1 {
+					t.Fatalf("request %d drew %v", i, out)
+				}
+				if len(sends(out)) == 1 {
+					served++
+					b.Handle(now, Opened{ID: id, Took: 10 * ms})
+					b.Handle(now, LoadNote{ID: id, Load: 50})
+					b.Handle(now, SlowNote{ID: id, Message: ms})
+				}
+				b.Handle(now, Timer{Token: sweepToken})
+			}
+			if served < c.served {
+				t.Errorf("%d of 60 requests were placed, want %d", served, c.served)
+			}
+		})
+	}
+}
+
+// Requests without a key spread over the fleet by their own id: one entry for all would herd them.
+func TestRequestsWithoutAKeySpread(t *testing.T) {
+	b := started(t, testSettings(), 8)
+	hit := map[ServerID]int{}
+	for i := range 200 {
+		id := RequestID(fmt.Sprint("r", i))
+		for _, s := range sends(b.Handle(0, Arrival{ID: id, Left: time.Second})) {
+			hit[s.Server]++
+		}
+		b.Handle(0, Opened{ID: id})
+		b.Handle(0, Settled{ID: id, Outcome: Served, Final: true})
+	}
+	if len(hit) != 8 {
+		t.Errorf("200 requests met %d of 8 servers", len(hit))
+	}
+}
