--- a/brain/brain.go
+++ b/brain/brain.go
@@ -240,27 +240,22 @@
 // shared takes in how a set-up went. Errors from one server after another, or set-ups that are slow
 // on the whole, come from what they all call to set a connection up; sending on as clients return in
 // a wave keeps that jammed. So the time between sends grows by half, once for all that was sent
-// before, and shrinks with each good set-up until it no longer matters.
+// before, and shrinks with time from then on until it no longer matters: where few connections come,
+// waiting for good set-ups to shrink it kept nodes paced long after the jam.
 func (b *Brain) shared(r *request, a *attempt, took time.Duration, ok bool) {
 	b.setup += (took - b.setup) / 8
-	usual := time.Duration(float64(time.Second) / max(b.rate, 1))
-	ok = ok && b.setup < b.set.Classes[r.Class].SetupAim/2
-	switch {
-	case a.at < b.cutAt:
-	case !ok:
-		if b.gap == 0 {
-			b.log("set-ups fail or are slow at several servers: paced")
-		}
-		b.gap, b.cutAt = min(max(b.gap*3/2, usual/4), usual), b.now
-	case b.gap > 0:
-		b.gap = b.gap * 9 / 10
-		if b.gap < usual/paceOff && len(b.queue) == 0 {
-			b.gap = 0
-			b.log("set-ups are well: no longer paced")
-		}
+	if ok && b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
+		return
 	}
+	if b.gap == 0 {
+		b.log("set-ups fail or are slow at several servers: paced")
+	}
+	b.gap, b.cutAt = min(max(b.gap*3/2, b.usual()/4), b.usual()), b.now
 }
 
+// usual is the time between connections as they usually come.
+func (b *Brain) usual() time.Duration { return time.Duration(float64(time.Second) / max(b.rate, 1)) }
+
 func (b *Brain) send(r *request, left time.Duration) {
 	var s *server
 	if left > 0 && len(b.table.first) > 0 && (b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts) {
@@ -474,6 +469,12 @@
 // sweep is the housekeeping: the rate, and the questions to the list.
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
+	if b.gap > 0 && b.now > b.cutAt+sweepEvery {
+		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff && len(b.queue) == 0 {
+			b.gap = 0
+			b.log("set-ups are well: no longer paced")
+		}
+	}
 	if b.now >= b.secondAt+time.Second {
 		// A wave of returning clients does not pass for capacity, nor a jam for the usual rate.
 		if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -482,3 +482,23 @@
 		}
 	}
 }
+
+// A jam that is over must not keep a node paced: where few connections come, few good set-ups tell.
+func TestPacedSetupsEaseWithTime(t *testing.T) {
+	b := started(t, testSettings(), 6)
+	b.Handle(0, Arrival{ID: "r", Key: "k", Left: time.Second})
+	b.Handle(20*ms, Settled{ID: "r", Took: 20 * ms, Outcome: Errored})
+	if b.gap == 0 {
+		t.Fatal("an error of a set-up does not pace")
+	}
+	for now := sweepEvery; now < 10*time.Second; now += sweepEvery {
+		b.Handle(now, Timer{Token: pumpToken})
+		b.Handle(now, Timer{Token: sweepToken})
+		if r := b.reqs["r"]; r != nil && len(r.attempts) > 1 && r.conn == nil {
+			b.Handle(now, Opened{ID: "r", Attempt: len(r.attempts) - 1, Took: 20 * ms})
+		}
+	}
+	if b.gap != 0 {
+		t.Errorf("still paced at one in %v after ten quiet seconds", b.gap)
+	}
+}
