--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,8 +18,9 @@
 	// own connections on.
 	skipFactor, skipFloor = 1.5, 2
 	noteSmooth            = 0.05 // the part of one load note that moves the means: some twenty notes set them
-	// paceOff is the multiple of the usual rate at which paced set-ups are let go again.
-	paceOff = 16
+	// paceOff is the multiple of the usual rate at which paced set-ups are let go again; leastRate, in
+	// connections a second, is what a node reckons with where few have come.
+	paceOff, leastRate = 16, 0.5
 	// sweepEvery is the pace of housekeeping, pumpEvery how early a late turn is given up.
 	sweepEvery, sweepToken = 200 * time.Millisecond, "sweep"
 	pumpEvery, pumpToken   = 100 * time.Millisecond, "pump"
@@ -199,8 +200,7 @@
 	}
 }
 
-// try sends a request to the next server, lets it wait its turn where set-ups are paced, or gives it
-// up at once.
+// try sends a request on, lets it wait its turn where set-ups are paced, or gives it up at once.
 func (b *Brain) try(r *request) {
 	left, wait := r.deadline-b.now, max(b.nextSend-b.now, 0)+b.gap*time.Duration(len(b.queue))
 	switch {
@@ -237,11 +237,10 @@
 	}
 }
 
-// shared takes in how a set-up went. Errors from one server after another, or set-ups that are slow
-// on the whole, come from what they all call to set a connection up; sending on as clients return in
-// a wave keeps that jammed. So the time between sends grows by half, once for all that was sent
-// before, and shrinks with time from then on until it no longer matters: where few connections come,
-// waiting for good set-ups to shrink it kept nodes paced long after the jam.
+// shared takes in how a set-up went. Errors from one server after another, or set-ups slow on the whole,
+// come from what they all call; sending on as clients return in a wave keeps that jammed. So the time
+// between sends grows by half, once for all that was sent before, and shrinks with time, not with good
+// set-ups alone: where few connections come, those kept nodes paced long after the jam.
 func (b *Brain) shared(r *request, a *attempt, took time.Duration, ok bool) {
 	b.setup += (took - b.setup) / 8
 	if ok && b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
@@ -254,7 +253,9 @@
 }
 
 // usual is the time between connections as they usually come.
-func (b *Brain) usual() time.Duration { return time.Duration(float64(time.Second) / max(b.rate, 1)) }
+func (b *Brain) usual() time.Duration {
+	return time.Duration(float64(time.Second) / max(b.rate, leastRate))
+}
 
 func (b *Brain) send(r *request, left time.Duration) {
 	var s *server
@@ -352,8 +353,7 @@
 	return best
 }
 
-// allowed reports whether rule and record permit another attempt at s: one that may have run is
-// repeated only as far as the class is proved safe, and no server is tried twice.
+// allowed reports whether another attempt may go to s: repeats are proved safe, no server is tried twice.
 func (b *Brain) allowed(r *request, s *server) bool {
 	c := &b.set.Classes[r.Class]
 	for i := range r.attempts {
