--- /dev/null
+++ b/brain/midflow_test.go
@@ -0,0 +1,58 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A mid-flow arrival is sent where its connection stands: to the second hop while its entry changes,
+// also when that server drains, and never past the drain grace.
+func TestMidFlowGoesToTheSecondHopWithinTheGrace(t *testing.T) {
+	b := started(t, testSettings(), 6)
+	b.Handle(0, Arrival{ID: "held", Key: "held", Left: time.Second}) // a node with no request ends fills at once
+	var key string
+	for i := range 100 {
+		if key = fmt.Sprint("k", i); b.table.first[b.slot(&request{Arrival: Arrival{Key: key}})].id == "s02" {
+			break
+		}
+	}
+	b.Handle(time.Second, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "s02", State: Draining}}})
+	send := func(id RequestID, at time.Duration, mid bool) ServerID {
+		t.Helper()
+		out := sends(b.Handle(at, Arrival{ID: id, Key: key, Left: time.Second, MidFlow: mid}))
+		if len(out) != 1 {
+			t.Fatalf("%s was not sent", id)
+		}
+		return out[0].Server
+	}
+	if got := send("new", 1100*ms, false); got == "s02" {
+		t.Error("a new connection was sent to a draining server")
+	}
+	if got := send("mid", 1200*ms, true); got != "s02" {
+		t.Errorf("mid-flow within the grace went to %s, want s02", got)
+	}
+	if got := send("late", 1001*ms+b.set.DrainGrace, true); got == "s02" {
+		t.Error("mid-flow past the grace was sent to a draining server")
+	}
+
+	// A fill: the server that gave its entry away is the second hop.
+	b = started(t, testSettings(), 6)
+	b.Handle(0, Arrival{ID: "held", Key: "held", Left: time.Second})
+	b.Handle(time.Second, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "s99", Weight: 1}}})
+	for i := range 1000 {
+		key = fmt.Sprint("k", i)
+		first, second := b.table.hops(b.slot(&request{Arrival: Arrival{Key: key}}))
+		if second == nil {
+			continue
+		}
+		if first.id != "s99" {
+			t.Fatalf("an entry of %s changes in a fill of s99", first.id)
+		}
+		if got := send("fill", 1100*ms, true); got != second.id {
+			t.Errorf("mid-flow in a fill went to %s, want %s", got, second.id)
+		}
+		return
+	}
+	t.Error("no entry changes in a fill")
+}
