--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -18,6 +18,8 @@
 	state      nodeState
 	parity     int
 	changedAt  time.Duration // when it began to drain or fill
+	entries    int           // of the first hop that it holds
+	cursor     int           // where the search for its first entry stands
 
 	conns  int            // open connections and attempts under way
 	load   float64        // their summed load
--- a/brain/table.go
+++ b/brain/table.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"math"
 	"math/bits"
 	"slices"
 	"time"
 )
 
-// minEntries is the least table size. The design wants at least 1024; four times that keeps the
-// chance in the base layout's shares near 5% of a share for a dozen servers.
+// minEntries is the least table size. The design wants at least 1024; four times that keeps shares
+// even when servers are added later, as the table is sized once.
 const minEntries = 4096
 
 // nodeState is a server's state in the table (the source's four states).
@@ -25,22 +24,34 @@
 	changing      bool      // some of them drain or fill
 }
 
-// build lays a fresh table. Each entry goes to the server with the highest weighted rendezvous
-// score: shares follow the listed weights, and two nodes that start from lists that differ by a few
-// servers agree on all other entries.
+// build lays a fresh table. Servers take entries in turn, as often as their listed weight says, each
+// the next free one in an order of its own, hashed from its id: shares are even to an entry, two nodes
+// that start from lists that differ by a few servers agree on nearly all else, and the cost is that of
+// the entries alone, not servers times entries.
 func (t *table) build(list []*server) {
-	size := max(len(list)*(len(list)/2), minEntries)
+	size := 1 << bits.Len(uint(max(len(list)*(len(list)/2), minEntries)-1)) // odd steps meet every entry
 	t.first, t.second = make([]*server, size), make([]*server, size)
 	t.holders = slices.Clone(list)
 	slices.SortFunc(t.holders, byID)
-	for i := range t.first {
-		top := math.Inf(-1)
-		for _, s := range t.holders {
-			s.state = active
-			u := (float64(mix(mix(s.hash, uint64(i)), s.hash)>>11) + 0.5) / (1 << 53)
-			if score := math.Log(u) / s.weight; score > top {
-				t.first[i], t.second[i], top = s, s, score
+	heaviest := 0.0
+	for _, s := range t.holders {
+		s.state, heaviest = active, max(heaviest, s.weight)
+	}
+	at, due := make([]uint64, len(list)), make([]float64, len(list))
+	for left := size; left > 0 && len(list) > 0; {
+		for n, s := range t.holders {
+			if due[n] += s.weight / heaviest; due[n] < 1 || left == 0 {
+				continue
 			}
+			due[n]--
+			i := mix(s.hash, 0) + at[n]*(mix(s.hash, 1)|1)
+			for t.first[i%uint64(size)] != nil {
+				at[n]++
+				i += mix(s.hash, 1) | 1
+			}
+			t.first[i%uint64(size)], t.second[i%uint64(size)] = s, s
+			s.entries++
+			left--
 		}
 	}
 }
@@ -69,9 +80,12 @@
 		}
 	}
 	next := 0
+	x.entries = 0
 	for i, s := range t.first {
 		if s == x {
-			t.first[i] = to[next%len(to)]
+			if t.first[i] = to[next%len(to)]; t.first[i] != nil {
+				t.first[i].entries++
+			}
 			next++
 		}
 	}
@@ -99,30 +113,31 @@
 	x.state, x.changedAt, t.changing = filling, now, true
 	at, _ := slices.BinarySearchFunc(t.holders, x, byID)
 	t.holders = slices.Insert(t.holders, at, x)
-	held, cursor := map[*server]int{}, map[*server]int{}
 	for i, s := range t.first {
 		if s == nil { // the list had run empty
 			t.first[i], t.second[i] = x, x
+			x.entries++
 		}
-		held[s]++
+	}
+	for _, s := range givers {
+		s.cursor = 0
 	}
 	for ; n > 0 && len(givers) > 0; n-- {
 		most := givers[0]
 		for _, s := range givers {
-			if held[s] > held[most] {
+			if s.entries > most.entries {
 				most = s
 			}
 		}
-		if held[most] == 0 {
+		if most.entries == 0 {
 			return
 		}
-		i := cursor[most]
-		for t.first[i] != most {
-			i++
+		for t.first[most.cursor] != most {
+			most.cursor++
 		}
-		cursor[most] = i + 1
-		held[most]--
-		t.first[i], t.second[i] = x, most
+		t.first[most.cursor], t.second[most.cursor] = x, most
+		most.entries--
+		x.entries++
 	}
 }
 
--- a/brain/table_test.go
+++ b/brain/table_test.go
@@ -16,6 +16,7 @@
 	t.holders = append(t.holders, all...)
 	for _, i := range layout {
 		t.first = append(t.first, all[i])
+		all[i].entries++
 		t.second = append(t.second, all[i])
 	}
 	return t, all
