Fill level by level from where each server's first entry last stood

Cause: a fill searched the table from its start for each server, so cost grew with servers times entries once the front had been given away.

--- /dev/null
+++ b/brain/bench_test.go
@@ -0,0 +1,58 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The cost of a change of the list must follow the entries that move, not servers times entries: a node of a
+// large fleet that grew server by server once ran out of CPU. Compare the allocations, not the times.
+func BenchmarkListChange(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			node := New(testSettings())
+			node.Handle(0, ListEvent{Kind: ListCached, Version: 1, Servers: fleetOf(n)})
+			for i := range b.N {
+				now := time.Duration(i+1) * time.Minute
+				state := Live
+				if i%2 == 1 {
+					state = Gone
+				}
+				node.Handle(now, ListEvent{Kind: ListChange, Version: int64(i + 2),
+					Servers: []Server{{ID: "new", Weight: 1, State: state}}})
+			}
+		})
+	}
+}
+
+func BenchmarkArrival(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			node := New(testSettings())
+			node.Handle(0, ListEvent{Kind: ListCached, Version: 1, Servers: fleetOf(n)})
+			for i := range b.N {
+				id := RequestID(fmt.Sprint(i))
+				now := time.Duration(i) * time.Millisecond
+				node.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})
+				node.Handle(now, Opened{ID: id, Took: time.Millisecond})
+				node.Handle(now, Settled{ID: id, Outcome: Served, Final: true})
+			}
+		})
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			node := New(testSettings())
+			node.Handle(0, ListEvent{Kind: ListCached, Version: 1, Servers: fleetOf(n)})
+			for i := range b.N {
+				node.Handle(time.Duration(i)*time.Second, Timer{Token: sweepToken})
+			}
+		})
+	}
+}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -19,7 +19,7 @@
 	parity     int
 	changedAt  time.Duration // when it began to drain or fill
 	entries    int           // of the first hop that it holds
-	cursor     int           // where the search for its first entry stands
+	cursor     int           // none of its entries comes before it
 
 	conns  int            // open connections and attempts under way
 	load   float64        // their summed load
--- a/brain/table.go
+++ b/brain/table.go
@@ -49,8 +49,8 @@
 				at[n]++
 				i += mix(s.hash, 1) | 1
 			}
-			t.first[i%uint64(size)], t.second[i%uint64(size)] = s, s
-			s.entries++
+			t.give(int(i%uint64(size)), s)
+			t.second[i%uint64(size)] = s
 			left--
 		}
 	}
@@ -83,9 +83,7 @@
 	x.entries = 0
 	for i, s := range t.first {
 		if s == x {
-			if t.first[i] = to[next%len(to)]; t.first[i] != nil {
-				t.first[i].entries++
-			}
+			t.give(i, to[next%len(to)])
 			next++
 		}
 	}
@@ -109,35 +107,42 @@
 		return
 	}
 	givers := t.in(active)
-	n := fillCount(len(t.first), len(givers)+len(t.in(filling)))
+	others := len(givers) + len(t.in(filling))
+	n := fillCount(len(t.first), others)
 	x.state, x.changedAt, t.changing = filling, now, true
 	at, _ := slices.BinarySearchFunc(t.holders, x, byID)
 	t.holders = slices.Insert(t.holders, at, x)
-	for i, s := range t.first {
-		if s == nil { // the list had run empty
-			t.first[i], t.second[i] = x, x
-			x.entries++
+	for i := 0; others == 0 && i < len(t.first); i++ {
+		if t.first[i] == nil { // the list had run empty
+			t.give(i, x)
+			t.second[i] = x
 		}
 	}
+	level := 0
 	for _, s := range givers {
-		s.cursor = 0
+		level = max(level, s.entries)
 	}
-	for ; n > 0 && len(givers) > 0; n-- {
-		most := givers[0]
+	for ; level > 0 && n > 0; level-- { // all that hold this many are the most frequent, in id order
 		for _, s := range givers {
-			if s.entries > most.entries {
-				most = s
+			if s.entries < level || n == 0 {
+				continue
 			}
+			for t.first[s.cursor] != s {
+				s.cursor++
+			}
+			s.entries--
+			n--
+			t.second[s.cursor] = s
+			t.give(s.cursor, x)
 		}
-		if most.entries == 0 {
-			return
-		}
-		for t.first[most.cursor] != most {
-			most.cursor++
-		}
-		t.first[most.cursor], t.second[most.cursor] = x, most
-		most.entries--
-		x.entries++
+	}
+}
+
+// give hands a first-hop entry to s and keeps its count and where its first entry may be.
+func (t *table) give(i int, s *server) {
+	if t.first[i] = s; s != nil {
+		s.cursor = min(s.cursor, i)
+		s.entries++
 	}
 }
 
