--- a/brain/api.go
+++ b/brain/api.go
@@ -57,6 +57,7 @@
 	MaxAttempts   int // 0 for no limit
 	MayCancel     bool
 	MayProbe      bool
+	Reports       bool // a probe's answer tells load over capacity
 	MayTell       bool
 	MaxRetryAfter time.Duration // the longest that a client stays away; 0 where it can't be told
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,8 @@
 package brain
 
-// The interface of this package, its settings, events and actions, is in api.go. The decisions stand
-// in brain.go (requests, placement, events), fleet.go (what is known of servers) and table.go.
+// The interface of this package, its settings, events and actions, is in api.go; what a node remembers is in
+// state.go. The decisions stand in brain.go (requests, placement, events), fleet.go (what is known of
+// servers) and table.go.
 
 import (
 	"cmp"
@@ -10,77 +11,35 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-jump"
 )
 
 const (
-	groupReach = 2 // how many servers from its entry on a group may newly stand on in a short fleet
-	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor
-	// own connections on.
+	groupReach = 4 // how many servers past its places a group may newly stand on
+	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor own
+	// connections on.
 	skipFactor, skipFloor = 1.5, 2
+	mostAsks              = 4    // servers that a request asks for a report: each takes a trip there and back
 	noteSmooth            = 0.05 // the part of one load note that moves the means: some twenty notes set them
 	// paceOff is the multiple of the usual rate at which paced set-ups are let go again; leastRate, in
 	// connections a second, is what a node reckons with where few have come.
-	paceOff, leastRate = 16, 0.5
-	// sweepEvery is the pace of housekeeping, pumpEvery how early a late turn is given up.
-	sweepEvery, sweepToken = 200 * time.Millisecond, "sweep"
-	pumpEvery, pumpToken   = 100 * time.Millisecond, "pump"
+	paceOff, leastRate    = 16, 0.5
+	sweepEvery            = 200 * time.Millisecond // the pace of housekeeping
+	sweepToken, waitToken = "sweep", "wait"
 )
 
-// attempt is one send of a request.
-type attempt struct {
-	to   *server
-	at   time.Duration
-	out  bool // no outcome yet
-	safe bool // its outcome proves that it never ran
-}
-
-// request is one client's connection, wanted or open.
-type request struct {
-	Arrival
-	deadline time.Duration
-	attempts []attempt
-	conn     *server // where it stands
-	load     float64
-	answered bool // has had its final answer
-}
-
-// Brain decides for one node.
-type Brain struct {
-	set          Settings
-	now          time.Duration
-	out          []Action
-	rng          *rand.Rand
-	aim, recover time.Duration // shortest message aim; time in which a limit grows back
-	table        table
-	servers      map[ServerID]*server
-	reqs         map[RequestID]*request
-	walks        uint64
-
-	load, usable, weight, limits, limitedWeight float64   // summed by weigh
-	group                                       float64   // what a group costs a server that holds it
-	trusting, short                             bool      // most is suspect, so it is set aside; most is limited
-	unit                                        float64   // mean load of a connection, 0 while no note has come
-	means                                       []float64 // the same of each class
-	rate, placed                                float64   // set-ups a second, and in the second that runs
-
-	gap, nextSend, cutAt, pumpAt time.Duration // gap: least time between paced sends, 0 for none
-	setup                        time.Duration // what a set-up takes of late, over all servers
-	queue                        []*request    // wait for their turn
-	tenants                      []int         // open connections of each, the last for requests of none
-
-	sweeping, asking, watching bool
-	askedAt, askNotBy, backoff time.Duration
-	secondAt                   time.Duration // when the second that runs began
-}
-
 // New starts a node that knows only its settings.
 func New(s Settings) *Brain {
 	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
-	b.rng, b.means = rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), make([]float64, len(s.Classes))
+	b.rng = rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))
+	b.groups, b.means = map[string]int{}, make([]float64, len(s.Classes))
 	b.set.Tenants, b.tenants = append(slices.Clip(s.Tenants), Tenant{}), make([]int, len(s.Tenants)+1)
 	b.set.Classes = slices.Clone(s.Classes)
 	for i, c := range s.Classes {
 		b.set.Classes[i].SetupAim = cmp.Or(c.SetupAim, c.Deadline, time.Second) // none told: no hurry
+		if p := b.set.Classes[i].SetupAim; i == 0 || p < b.patience {
+			b.patience = p
+		}
 		b.recover = max(b.recover, recovery*c.Deadline)
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -101,6 +60,7 @@
 	switch e := ev.(type) {
 	case ListEvent:
 		b.listed(e)
+		b.weigh()
 	case Arrival:
 		b.arrive(e, nil)
 	case Inherited:
@@ -111,21 +71,22 @@
 		b.opened(e)
 	case Settled:
 		b.settled(e)
+	case Probed:
+		if s := b.servers[e.Server]; s != nil && e.Outcome == Served && e.Excess >= 0 {
+			s.toldAt, s.excess = now, e.Excess
+		}
+		b.resume()
 	case LoadNote:
 		b.loaded(b.reqs[e.ID], e.Load)
 	case SlowNote:
-		if r := b.reqs[e.ID]; r != nil && r.conn != nil {
-			b.slow(r.conn, e.Message)
-		}
+		b.slow(b.reqs[e.ID], e.Message)
 	case ClientGone:
-		if r := b.reqs[e.ID]; r != nil {
-			b.end(r)
-		}
+		b.end(b.reqs[e.ID])
 	case Timer:
 		if e.Token == sweepToken {
 			b.sweep()
 		}
-		b.pump()
+		b.resume()
 	}
 	return b.out
 }
@@ -152,30 +113,27 @@
 		return
 	}
 	r.conn, r.attempts = on, []attempt{{to: on, at: b.now, out: true}}
-	b.take(on, r)
+	b.count(on, r, 1)
 }
 
-func (b *Brain) take(s *server, r *request) {
-	s.conns++
-	s.load += r.load
-	s.groups[r.Group]++
-	b.tenants[r.Tenant]++
-}
-
-func (b *Brain) drop(s *server, r *request) {
-	s.conns--
-	if s.load -= r.load; s.conns == 0 {
+// count adds a request to its server, or takes it off again with n = -1.
+func (b *Brain) count(s *server, r *request, n int) {
+	s.conns += n
+	s.load += float64(n) * r.load
+	b.load += float64(n) * r.load
+	if b.open += n; s.conns == 0 {
 		s.load = 0 // no drift from rounding
 	}
-	b.tenants[r.Tenant]--
-	if s.groups[r.Group]--; s.groups[r.Group] <= 0 {
-		delete(s.groups, r.Group)
+	b.tenants[r.Tenant] += n
+	for _, in := range []map[string]int{b.groups, s.groups} {
+		if in[r.Group] += n; in[r.Group] <= 0 {
+			delete(in, r.Group)
+		}
 	}
-	b.forget(s)
 }
 
-// loaded takes in a connection's load now. The first note sets the unit that all loads without a
-// note are reckoned in.
+// loaded takes in a connection's load now. The first note sets the unit that all loads without a note are
+// reckoned in.
 func (b *Brain) loaded(r *request, load float64) {
 	if r == nil || r.conn == nil || load <= 0 {
 		return
@@ -190,6 +148,7 @@
 		}
 	}
 	r.conn.load += load - r.load
+	b.load += load - r.load
 	r.load = load
 	m := &b.means[r.Class]
 	*m = cmp.Or(*m, load)
@@ -200,47 +159,20 @@
 	}
 }
 
-// try sends a request on, lets it wait its turn where set-ups are paced, or gives it up at once.
+// try sends a request on, or gives it up at once where set-ups are paced and it is not its turn.
 func (b *Brain) try(r *request) {
-	left, wait := r.deadline-b.now, max(b.nextSend-b.now, 0)+b.gap*time.Duration(len(b.queue))
-	switch {
-	case r.MidFlow && len(r.attempts) == 0 || b.gap == 0:
-		b.send(r, left)
-	case wait > left/2: // its turn would come too late for the attempt itself
+	if wait := b.nextSend - b.now; b.gap > 0 && wait > 0 && !(r.MidFlow && len(r.attempts) == 0) {
 		b.giveUp(r, wait)
-	default:
-		b.queue = append(b.queue, r)
-		b.pump()
-	}
-}
-
-// pump sends what has waited its turn, and gives up at once what the queue can no longer serve in time.
-func (b *Brain) pump() {
-	waiting := b.queue
-	b.queue = nil
-	for _, r := range waiting {
-		left := r.deadline - b.now
-		switch wait := max(b.nextSend-b.now, 0) + b.gap*time.Duration(len(b.queue)); {
-		case r.answered:
-		case wait > left-pumpEvery:
-			b.giveUp(r, wait)
-		case wait == 0:
-			b.nextSend = b.now + b.gap
-			b.send(r, left)
-		default:
-			b.queue = append(b.queue, r)
-		}
-	}
-	if len(b.queue) > 0 && b.pumpAt <= b.now {
-		b.pumpAt = b.now + max(min(b.nextSend-b.now, pumpEvery/2), time.Millisecond)
-		b.emit(Wake{b.pumpAt, pumpToken})
+		return
 	}
+	b.nextSend = b.now + b.gap
+	b.send(r, r.deadline-b.now)
 }
 
-// shared takes in how a set-up went. Errors from one server after another, or set-ups slow on the whole,
-// come from what they all call; sending on as clients return in a wave keeps that jammed. So the time
-// between sends grows by half, once for all that was sent before, and shrinks with time, not with good
-// set-ups alone: where few connections come, those kept nodes paced long after the jam.
+// shared takes in how a set-up went. Errors from one server after another, or set-ups slow on the whole, come
+// from what they all call; sending on as clients return in a wave keeps that jammed. So the time between
+// sends grows by half, once for all that was sent before, and shrinks with time, not with good set-ups alone:
+// where few connections come, those kept nodes paced long after the jam.
 func (b *Brain) shared(r *request, a *attempt, took time.Duration, ok bool) {
 	b.setup += (took - b.setup) / 8
 	if ok && b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
@@ -262,25 +194,63 @@
 	if left > 0 && len(b.table.first) > 0 && (b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts) {
 		s = b.place(r)
 	}
+	aim := b.set.Classes[r.Class].SetupAim
 	if s == nil {
-		b.giveUp(r, b.set.Classes[r.Class].SetupAim)
+		b.giveUp(r, aim)
 		return
 	}
-	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, an
-	// attempt given up early is work done for nothing and done again.
-	if aim := max(b.set.Classes[r.Class].SetupAim, 4*b.setup); aim > 0 {
-		left = min(left, aim)
+	if b.ask(r, s, left) {
+		return
 	}
+	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, an attempt
+	// given up early is work done for nothing and done again.
+	left = min(left, max(aim, 4*b.setup))
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
-	b.take(s, r)
+	b.count(s, r, 1)
 	if b.coldness(s) < 1 {
 		s.tokens--
 	}
 	b.emit(Send{r.ID, s.id, left})
 }
 
-// value is what a request is worth for the load it brings, against the class that is worth most; a
-// tenant over its share of open connections, judged by this node's part of them, counts for little.
+// ask lets a request wait for the report of the server picked for it, where servers report when asked, so
+// that a node that sees little of a server does not add to a crowd there.
+func (b *Brain) ask(r *request, s *server, left time.Duration) bool {
+	if !b.set.Reports || r.MidFlow || r.asks >= mostAsks || b.reported(s) {
+		return false
+	}
+	r.asks++
+	r.asked, r.askedBy = s, b.now+min(left, b.patience)/4
+	b.held = append(b.held, r)
+	b.emit(Wake{r.askedBy, waitToken})
+	if s.askedAt+b.patience/4 <= b.now { // not just asked
+		s.askedAt = b.now
+		b.emit(Probe{s.id})
+	}
+	return true
+}
+
+// resume sends on what has waited for a report and has it, or has waited long enough: a server that does not
+// say how it is, is taken to fail.
+func (b *Brain) resume() {
+	held := b.held
+	b.held = nil
+	for _, r := range held {
+		switch known := b.reported(r.asked); {
+		case r.answered:
+		case known || b.now >= r.askedBy:
+			if !known && !b.shunned(r.asked) {
+				b.strike(r.asked, 4*b.patience)
+			}
+			b.send(r, r.deadline-b.now)
+		default:
+			b.held = append(b.held, r)
+		}
+	}
+}
+
+// value is what a request is worth for the load it brings, against the class that is worth most; a tenant
+// over its share of open connections, judged by this node's part of them, counts for little.
 func (b *Brain) value(r *request) float64 {
 	best := 1e-12
 	for i, c := range b.set.Classes {
@@ -294,34 +264,42 @@
 	return own / best
 }
 
-// slot is the request's place in the table: the hash of its client key, or of its group where there
-// are groups, as connections of a group share work on a server; of its own id where it has neither.
-func (b *Brain) slot(r *request) int {
-	return int(xxhash.Sum64String(cmp.Or(r.Group, r.Key, string(r.ID))) % uint64(len(b.table.first)))
+// home is the request's entry in the table, the hash of its client key, or of its group where there are
+// groups, as connections of a group share work on a server; of its own id where it has neither. A group that
+// is more than one server's part of what this node has open stands on the next servers from its entry too,
+// and steps tells how many to pass for this client, which keeps to its place as they change.
+func (b *Brain) home(r *request) (entry, steps int) {
+	own := cmp.Or(r.Key, string(r.ID))
+	if r.Group != "" {
+		part := float64(b.groups[r.Group]) / float64(b.open+1)
+		steps = int(jump.Hash(xxhash.Sum64String(own), 1+int(part*float64(len(b.table.holders)))))
+	}
+	return int(xxhash.Sum64String(cmp.Or(r.Group, own)) % uint64(len(b.table.first))), steps
 }
 
-// place picks the server: the first hop, or the second for a mid-flow arrival while the entry
-// changes; where that one is barred, the walk goes on to the next entry that names another server.
+// place picks the server: the first hop of the request's place, or the second for a mid-flow arrival while
+// that entry changes; where that one is barred, the first that fits of those that its group's entry and the
+// next ones name, in the same order at every node.
 func (b *Brain) place(r *request) *server {
-	b.weigh()
-	at := b.slot(r)
-	first, second := b.table.hops(at)
-	// A mid-flow connection stands where the table put it, however loaded that server is.
-	for _, s := range []*server{second, first} {
-		if r.MidFlow && s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
-			return s
-		}
-	}
+	at, steps := b.home(r)
 	b.walks++
 	var best *server
 	var rank, value float64
-	near := groupReach
-	for i, left := 0, len(b.table.holders); i < len(b.table.first) && left > 0; i++ {
-		s := b.table.first[(at+i)%len(b.table.first)]
+	near, size := steps+groupReach, len(b.table.first)
+	for i, left := at, len(b.table.holders); i < at+size && left > 0; i++ {
+		s := b.table.first[i%size]
 		if s == nil || s.visited == b.walks {
 			continue
 		}
 		s.visited, left = b.walks, left-1
+		home := steps == 0
+		if steps--; home && r.MidFlow { // it stands where the table put it, however loaded that server is
+			for _, s := range b.table.hops(i % size) {
+				if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+					return s
+				}
+			}
+		}
 		if !b.allowed(r, s) || !b.affords(s) {
 			continue
 		}
@@ -329,19 +307,24 @@
 		if !held {
 			load += b.group
 		}
-		// A group that scatters is paid for on every server, which a short fleet can't bear.
-		if near--; near < 0 && b.short && !held && r.Group != "" {
+		shunned := b.shunned(s) && !b.trusting
+		if !shunned {
+			near--
+		}
+		if near < 0 && !held && r.Group != "" { // a group that scatters is paid for on every server
 			continue
 		}
 		k, v := 2.0, 0.0 // the next entry that names another server
 		switch {
-		case b.shunned(s) && !b.trusting:
+		case shunned:
 			k, v = 4, s.suspect.Seconds()
 		case b.full(s, r, load):
 			continue // one more would only make it late for all that it has
+		case b.reported(s) && s.excess > room*headroom:
+			k, v = 3, s.excess
 		case b.over(s, load):
 			k, v = 3, b.bears(s)/b.carries(s)
-		case i == 0:
+		case home:
 			return s
 		case held:
 			k = 1 // a skipped connection goes where its group is paid for already
@@ -384,6 +367,9 @@
 
 // end marks a request as answered and frees it once no attempt of it is out.
 func (b *Brain) end(r *request) {
+	if r == nil {
+		return
+	}
 	r.answered = true
 	switch i := len(r.attempts) - 1; {
 	case i < 0 || !r.attempts[i].out:
@@ -432,7 +418,8 @@
 		b.shared(r, a, e.Took, false)
 		b.strike(s, aim)
 	}
-	b.drop(s, r)
+	b.count(s, r, -1)
+	b.forget(s)
 	if r.conn = nil; stood || e.Final || r.answered {
 		b.end(r)
 	} else {
@@ -440,9 +427,9 @@
 	}
 }
 
-// relieve moves connections off a server until it is within its limit, those with the least worth
-// for their load first.
-func (b *Brain) relieve(s *server) {
+// relieve moves connections off a server until it is within its limit, those with the least worth for their
+// load first.
+func (b *Brain) relieve(s *server, over float64) {
 	var on []*request
 	for _, r := range b.reqs {
 		if r.conn == s && !r.answered {
@@ -455,10 +442,9 @@
 	slices.SortFunc(on, func(x, y *request) int {
 		return cmp.Or(cmp.Compare(price(y), price(x)), cmp.Compare(x.ID, y.ID))
 	})
-	over := b.bears(s) - s.limit
 	for _, r := range on {
-		if over < r.load/2 {
-			continue
+		if over < r.load*b.rng.Float64() {
+			return
 		}
 		over -= r.load
 		b.emit(Move{r.ID})
@@ -469,8 +455,9 @@
 // sweep is the housekeeping: the rate, and the questions to the list.
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
+	b.weigh()
 	if b.gap > 0 && b.now > b.cutAt+sweepEvery {
-		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff && len(b.queue) == 0 {
+		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff {
 			b.gap = 0
 			b.log("set-ups are well: no longer paced")
 		}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -8,48 +8,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// server is what this node knows of one listed server, all of it from its own traffic and its list.
-type server struct {
-	id         ServerID
-	hash       uint64
-	zone, cell int
-	weight     float64
-	since      time.Duration
-	state      nodeState
-	parity     int
-	changedAt  time.Duration // when it began to drain or fill
-	entries    int           // of the first hop that it holds
-	cursor     int           // none of its entries comes before it
-
-	conns  int            // open connections and attempts under way
-	load   float64        // their summed load
-	groups map[string]int // of each group, how many of them
-
-	strikes int           // failures since the last success
-	suspect time.Duration // skipped until then
-
-	limit              float64       // own load that it was last cut to, 0 for none
-	limitAt            time.Duration // when that was
-	message, messageAt time.Duration // how long messages took, and when that was told
-	peak               float64       // the most load it had of late: the limit grows by that much in a recovery
-
-	tokens  float64 // cold budget left, in connections, as of refill
-	refill  time.Duration
-	visited uint64 // stamp of the walk that last met it
-}
-
 const (
 	ejectable = 0.5 // the share of the fleet that suspicion may shut out: more is no server's fault
-	// A cut aims at headroom, a part of what the server can do, and leaves mostCut at the least, as the
-	// message times of a second are a rough measure.
+	// A cut aims at headroom, a part of what the server can do, and leaves mostCut at the least, as the message
+	// times of a second are a rough measure.
 	headroom, mostCut = 0.85, 0.5
-	reserve           = 0.15 // the part of a limit that is kept for requests of most worth for their load
-	recovery          = 16   // longest deadlines in which a limit grows back: clients' own measure of long
-	rateSmooth        = 0.1  // the part of one second's count that moves the known rate of connections
+	// room is the load that a server's report may show for one more connection: reports are late, and other
+	// nodes send meanwhile.
+	room       = 0.75
+	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
+	recovery   = 16   // longest deadlines in which a limit grows back: clients' own measure of long
+	rateSmooth = 0.1  // the part of one second's count that moves the known rate of connections
 )
 
-// listed takes in the server list: removals and drains first, then fills, both in id order, so that
-// every node that is told of a version changes its table alike.
+// listed takes in the server list: removals and drains first, then fills, both in id order, so that every
+// node that is told of a version changes its table alike.
 func (b *Brain) listed(e ListEvent) {
 	if e.Kind == ListFailed { // back off with jitter, doubling, well within the time allowed
 		b.asking, b.watching = false, false
@@ -120,16 +93,12 @@
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
 	shut := 0.0
-	b.load, b.usable, b.weight, b.limits, b.limitedWeight = 0, 0, 0, 0, 0
+	b.load, b.usable, b.weight = 0, 0, 0
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
 		}
 		b.weight += s.weight
-		if s.limit > 0 && b.now < s.limitAt+b.recover/4 {
-			b.limits += s.limit
-			b.limitedWeight += s.weight
-		}
 		if b.shunned(s) {
 			shut += s.weight
 		} else {
@@ -137,7 +106,7 @@
 			b.usable += b.carries(s)
 		}
 	}
-	b.trusting, b.short = shut > ejectable*b.weight, b.limitedWeight > ejectable*b.weight
+	b.trusting = shut > ejectable*b.weight
 }
 
 // bears is the load that a server has of this node, the groups it holds counted in.
@@ -146,31 +115,32 @@
 // carries is the weight a server is good for now.
 func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
-// full reports whether a server has as much load as it was last seen not to cope with. The limit grows
-// back, so that a server that was slow is tried again. Where most of the fleet was limited of late, a
-// server that this node has not seen crowded is taken to cope with little more than the others: with
-// many nodes each has few connections there to tell.
+// full reports whether a server has as much load as it copes with, by its own report or by what it was last
+// seen not to cope with. That limit grows back, so that a server that was slow is tried again. A server that
+// would not say is left out once others have been asked.
 func (b *Brain) full(s *server, r *request, load float64) bool {
+	keep := 1 - reserve*(1-b.value(r))
 	limit := s.limit + s.peak*float64(b.now-s.limitAt)/float64(b.recover)
-	if s.limit == 0 && b.short {
-		limit = b.limits * s.weight / b.limitedWeight / headroom
-	}
-	return limit > 0 && b.bears(s)+load > limit*(1-reserve*(1-b.value(r)))
+	return limit > 0 && b.bears(s)+load > limit*keep ||
+		b.reported(s) && s.excess > room*keep || b.set.Reports && r.asks >= mostAsks && !b.reported(s)
 }
 
+// reported reports whether a server's own report of its load is fresh.
+func (b *Brain) reported(s *server) bool { return s.toldAt > 0 && b.now < s.toldAt+b.patience }
+
 // shunned reports whether a server that fails attempts gets no new connection for now.
 func (b *Brain) shunned(s *server) bool { return b.now < s.suspect }
 
-// over reports whether a server is past the skip bound: more than skipFactor times the mean load
-// for its weight, and more than skipFloor connections.
+// over reports whether a server is past the skip bound: more than skipFactor times the mean load for its
+// weight, and more than skipFloor connections.
 func (b *Brain) over(s *server, load float64) bool {
 	w := b.carries(s)
 	return s.conns >= skipFloor && b.bears(s)+load > skipFactor*(b.load+load)*w/max(b.usable, w)
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. Capacity is judged by what this node places for the weight:
-// what servers carry is less than what they could, and that is the margin.
+// capacity, covers one more connection. Capacity is judged by what this node places for the weight: what
+// servers carry is less than what they could, and that is the margin.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 {
@@ -182,10 +152,10 @@
 	return s.tokens >= 1
 }
 
-// strike notes a failed attempt. The time shut out doubles with each, up to the time a start takes.
-func (b *Brain) strike(s *server, base time.Duration) {
+// strike notes a failed attempt and shuts the server out for a time.
+func (b *Brain) strike(s *server, span time.Duration) {
 	s.strikes++
-	s.suspect = max(s.suspect, b.now+min(base<<min(s.strikes-1, 6), b.set.WarmWithin+base))
+	s.suspect = max(s.suspect, b.now+span)
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
 	}
@@ -194,10 +164,14 @@
 // well notes a success.
 func (b *Brain) well(s *server) { s.strikes, s.suspect = 0, 0 }
 
-// slow takes in how long messages take at a server, told each second while that is near the shortest
-// aim. The time grows by what is asked beyond what the server can do and falls by what is spare, so its
-// slope tells how far to cut: while a backlog drains fast enough, not at all.
-func (b *Brain) slow(s *server, message time.Duration) {
+// slow takes in how long messages take at a server, told each second while that is near the shortest aim. The
+// time grows by what is asked beyond what the server can do and falls by what is spare, so its slope tells
+// how far to cut: while a backlog drains fast enough, not at all.
+func (b *Brain) slow(r *request, message time.Duration) {
+	if r == nil || r.conn == nil {
+		return
+	}
+	s := r.conn
 	was, span := s.message, b.now-s.messageAt
 	if span > 2*time.Second || span <= 0 {
 		was, span = 0, time.Second
@@ -213,5 +187,5 @@
 func (b *Brain) cut(s *server, keep float64) {
 	s.peak = max(b.bears(s), s.peak*headroom)
 	s.limit, s.limitAt = b.bears(s)*keep, b.now
-	b.relieve(s)
+	b.relieve(s, b.bears(s)-s.limit)
 }
--- /dev/null
+++ b/brain/state.go
@@ -0,0 +1,104 @@
+package brain
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The types of what a node remembers. No decision is made here.
+
+// attempt is one send of a request.
+type attempt struct {
+	to   *server
+	at   time.Duration
+	out  bool // no outcome yet
+	safe bool // its outcome proves that it never ran
+}
+
+// request is one client's connection, wanted or open.
+type request struct {
+	Arrival
+	deadline time.Duration
+	attempts []attempt
+	conn     *server // where it stands
+	load     float64
+	answered bool // has had its final answer
+	asks     int  // how many servers' reports it has waited for
+	asked    *server
+	askedBy  time.Duration // it waits for asked's report no longer
+}
+
+// Brain decides for one node.
+type Brain struct {
+	set          Settings
+	now          time.Duration
+	out          []Action
+	rng          *rand.Rand
+	aim, recover time.Duration // shortest message aim; time in which a limit grows back
+	patience     time.Duration // shortest set-up aim: how long a report counts, and is waited for
+	table        table
+	servers      map[ServerID]*server
+	reqs         map[RequestID]*request
+	walks        uint64
+
+	load, usable, weight float64   // summed by weigh
+	group                float64   // what a group costs a server that holds it
+	trusting             bool      // most is suspect, so suspicion is set aside
+	unit                 float64   // mean load of a connection, 0 while no note has come
+	means                []float64 // the same of each class
+	rate, placed         float64   // set-ups a second, and in the second that runs
+
+	gap, nextSend, cutAt time.Duration // gap: least time between paced sends, 0 for none
+	setup                time.Duration // what a set-up takes of late, over all servers
+	held                 []*request    // wait for a report
+	open                 int           // connections and attempts under way, and those of each group
+	groups               map[string]int
+	tenants              []int // open connections of each, the last for requests of none
+
+	sweeping, asking, watching bool
+	askedAt, askNotBy, backoff time.Duration
+	secondAt                   time.Duration // when the second that runs began
+}
+
+// server is what this node knows of one listed server, all of it from its own traffic and its list.
+type server struct {
+	id         ServerID
+	hash       uint64
+	zone, cell int
+	weight     float64
+	state      nodeState
+	parity     int
+
+	since, changedAt time.Duration // its start; when it began to drain or fill
+	entries, cursor  int           // first-hop entries that it holds, none of them before cursor
+
+	conns  int            // open connections and attempts under way
+	load   float64        // their summed load
+	groups map[string]int // of each group, how many of them
+
+	strikes int           // failures since the last success
+	suspect time.Duration // skipped until then
+
+	limit, peak        float64       // load it was last cut to, and had most: the limit grows by that
+	limitAt            time.Duration // when it was cut
+	message, messageAt time.Duration // how long messages took, and when that was told
+	excess             float64       // load over capacity by its last report
+	toldAt, askedAt    time.Duration // when that came, 0 for never, and was last asked for
+
+	tokens  float64 // cold budget left, in connections, as of refill
+	refill  time.Duration
+	visited uint64 // stamp of the walk that last met it
+}
+
+// nodeState is a server's state in the table (the source's four states).
+type nodeState uint8
+
+const inactive, active, draining, filling nodeState = 0, 1, 2, 3
+
+// table holds the first and second hops. It is built and changed only from the server list, so nodes that saw
+// the same changes hold the same table.
+type table struct {
+	first, second []*server
+	holders       []*server // servers that are not inactive, by id
+	changing      bool      // some of them drain or fill
+}
--- a/brain/table.go
+++ b/brain/table.go
@@ -7,27 +7,14 @@
 	"time"
 )
 
-// minEntries is the least table size. The design wants at least 1024; four times that keeps shares
-// even when servers are added later, as the table is sized once.
+// minEntries is the least table size. The design wants at least 1024; four times that keeps shares even when
+// servers are added later, as the table is sized once.
 const minEntries = 4096
 
-// nodeState is a server's state in the table (the source's four states).
-type nodeState uint8
-
-const inactive, active, draining, filling nodeState = 0, 1, 2, 3
-
-// table holds the first and second hops. It is built and changed only from the server list, so
-// nodes that saw the same changes hold the same table.
-type table struct {
-	first, second []*server
-	holders       []*server // servers that are not inactive, by id
-	changing      bool      // some of them drain or fill
-}
-
-// build lays a fresh table. Servers take entries in turn, as often as their listed weight says, each
-// the next free one in an order of its own, hashed from its id: shares are even to an entry, two nodes
-// that start from lists that differ by a few servers agree on nearly all else, and the cost is that of
-// the entries alone, not servers times entries.
+// build lays a fresh table. Servers take entries in turn, as often as their listed weight says, each the next
+// free one in an order of its own, hashed from its id: shares are even to an entry, two nodes that start from
+// lists that differ by a few servers agree on nearly all else, and the cost is that of the entries alone, not
+// servers times entries.
 func (t *table) build(list []*server) {
 	size := 1 << bits.Len(uint(max(len(list)*(len(list)/2), minEntries)-1)) // odd steps meet every entry
 	t.first, t.second = make([]*server, size), make([]*server, size)
@@ -56,8 +43,8 @@
 	}
 }
 
-// drain makes x an always-second-hop server: its first-hop entries go in turn to the other parity
-// group. A drain outside the group that drains already, or during a fill, spreads over all.
+// drain makes x an always-second-hop server: its first-hop entries go in turn to the other parity group. A
+// drain outside the group that drains already, or during a fill, spreads over all.
 func (t *table) drain(x *server, now time.Duration) {
 	if x.state != active && x.state != filling {
 		return
@@ -100,8 +87,8 @@
 	t.holders = slices.DeleteFunc(t.holders, func(s *server) bool { return s == x })
 }
 
-// fill gives x two thirds of an even share, each entry the first occurrence of the active server
-// that holds most entries (ties by id); the displaced server moves to the second hop.
+// fill gives x two thirds of an even share, each entry the first occurrence of the active server that holds
+// most entries (ties by id); the displaced server moves to the second hop.
 func (t *table) fill(x *server, now time.Duration) {
 	if x.state != inactive {
 		return
@@ -149,8 +136,8 @@
 // fillCount is ceil((floor(entries/nodes)/3)*2).
 func fillCount(entries, nodes int) int { return (entries/max(nodes, 1)*2 + 2) / 3 }
 
-// progress ends drains and fills whose grace has passed; fills end sooner where this node has no
-// connection left.
+// progress ends drains and fills whose grace has passed; fills end sooner where this node has no connection
+// left.
 func (t *table) progress(now, grace time.Duration, idle bool) {
 	if !t.changing {
 		return
@@ -168,13 +155,14 @@
 	}
 }
 
-// hops returns an entry's two hops, the second nil unless the entry is changing.
-func (t *table) hops(i int) (first, second *server) {
-	first, second = t.first[i], t.second[i]
+// hops returns an entry's servers in the order in which a mid-flow arrival tries them: the second hop while
+// the entry changes, then the first.
+func (t *table) hops(i int) [2]*server {
+	first, second := t.first[i], t.second[i]
 	if second == first || second == nil || second.state != draining && (first == nil || first.state != filling) {
-		return first, nil
+		second = nil
 	}
-	return first, second
+	return [2]*server{second, first}
 }
 
 // in lists the holders in a state, by id.
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"onyxstream/brain"
@@ -38,6 +39,10 @@
 		Mode       string    `json:"mode"`
 		TenantOpen []float64 `json:"tenantQuotaConnections"`
 	} `json:"domain"`
+	Report struct {
+		How    string   `json:"how"`
+		Fields []string `json:"fields"`
+	} `json:"report"`
 	Limits struct {
 		Cancel        bool `json:"cancel"`
 		MaxAttempts   int  `json:"maxAttempts"`
@@ -80,6 +85,7 @@
 		WarmWithin: f.Rules.WarmWithin.duration(), FallMultiple: f.Rules.FallMultiple,
 		FallWindow: f.Rules.OverloadFor.duration(), AskWithin: f.Rules.AskWithin.duration(),
 	}
+	s.Reports = s.MayProbe && f.Report.How == "on_probe" && slices.Contains(f.Report.Fields, "x0")
 	if f.Limits.RetryAfter {
 		s.MaxRetryAfter = f.Limits.MaxRetryAfter.duration()
 	}
