--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,11 +19,9 @@
 	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor own
 	// connections on.
 	skipFactor, skipFloor = 1.5, 2
-	mostAsks              = 4    // servers that a request asks for a report: each takes a trip there and back
-	noteSmooth            = 0.05 // the part of one load note that moves the means: some twenty notes set them
-	// paceOff is the multiple of the usual rate at which paced set-ups are let go again; leastRate, in
-	// connections a second, is what a node reckons with where few have come.
-	paceOff, leastRate    = 16, 0.5
+	mostAsks              = 4                      // servers that a request asks for a report: each takes a trip there and back
+	noteSmooth            = 0.05                   // the part of one load note that moves the means: some twenty notes set them
+	paceOff               = 16                     // the multiple of the usual rate at which paced set-ups are let go again
 	sweepEvery            = 200 * time.Millisecond // the pace of housekeeping
 	sweepToken, waitToken = "sweep", "wait"
 )
@@ -189,9 +187,9 @@
 	b.gap, b.cutAt = min(max(b.gap*3/2, b.usual()/4), b.usual()), b.now
 }
 
-// usual is the time between connections as they usually come.
+// usual is the time between connections as they usually come, one in the time a limit grows back at the least.
 func (b *Brain) usual() time.Duration {
-	return time.Duration(float64(time.Second) / max(b.rate, leastRate))
+	return time.Duration(float64(time.Second) / max(b.rate, 1/b.recover.Seconds()))
 }
 
 func (b *Brain) send(r *request, left time.Duration) {
