A pace eases only once what was sent since the last trouble can have told

Each node eased its pace every 200 ms while outcomes take a second, so all together sent four times the usual rate into the jam. Change: a pace eases two recent set-up times after the last trouble at the earliest.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -460,7 +460,8 @@
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	b.weigh()
-	if b.gap > 0 && b.now > b.cutAt+sweepEvery {
+	// What was sent since the last trouble must have had the time to tell: easing sooner feeds a jam again.
+	if b.gap > 0 && b.now > b.cutAt+max(sweepEvery, 2*b.setup) {
 		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff {
 			b.gap = 0
 			b.log("set-ups are well: no longer paced")
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -181,3 +181,18 @@
 		t.Errorf("%d of %d nodes move the one connection they hold", moved, nodes)
 	}
 }
+
+// With set-ups that take long a jam tells late: a pace that eased every sweep let each node send four times its
+// usual rate into it, and it never ended.
+func TestPaceDoesNotEaseBeforeOutcomesCanTell(t *testing.T) {
+	b := started(t, testSettings(), 6)
+	b.setup, b.gap, b.cutAt = time.Second, time.Second, 10*time.Second
+	for now := 10 * time.Second; now <= 12*time.Second; now += sweepEvery {
+		if b.Handle(now, Timer{Token: sweepToken}); b.gap != time.Second {
+			t.Fatalf("eased %v after the last trouble, a set-up takes %v", now-b.cutAt, b.setup)
+		}
+	}
+	if b.Handle(13*time.Second, Timer{Token: sweepToken}); b.gap >= time.Second {
+		t.Error("it never eases")
+	}
+}
