A single failed set-up paces nothing: a failure counts as a set-up of two aims

Change: failures go into the same mean as slow set-ups, as two aims each; the pace begins when that mean passes half an aim.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,9 +19,11 @@
 	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor own
 	// connections on.
 	skipFactor, skipFloor = 1.5, 2
-	mostAsks              = 4                      // servers that a request asks for a report: each takes a trip there and back
-	noteSmooth            = 0.05                   // the part of one load note that moves the means: some twenty notes set them
-	paceOff               = 16                     // the multiple of the usual rate at which paced set-ups are let go again
+
+	mostAsks   = 4    // servers that a request asks for a report: each takes a trip there and back
+	noteSmooth = 0.05 // the part of one load note that moves the means: some twenty notes set them
+	paceOff    = 16   // the multiple of the usual rate at which paced set-ups are let go again
+
 	sweepEvery            = 200 * time.Millisecond // the pace of housekeeping
 	sweepToken, waitToken = "sweep", "wait"
 )
@@ -172,13 +174,13 @@
 	b.emit(Wake{until, waitToken})
 }
 
-// shared takes in how a set-up went. Errors from one server after another, or set-ups slow on the whole, come
+// shared takes in how long a set-up took, twice its aim for one that failed. Set-ups slow on the whole come
 // from what they all call; sending on as clients return in a wave keeps that jammed. So the time between
 // sends grows by half, once for all that was sent before, and shrinks with time, not with good set-ups alone:
-// where few connections come, those kept nodes paced long after the jam.
-func (b *Brain) shared(r *request, a *attempt, took time.Duration, ok bool) {
+// where few connections come, those kept nodes paced long after the jam. A single error paces nothing.
+func (b *Brain) shared(r *request, a *attempt, took time.Duration) {
 	b.setup += (took - b.setup) / 8
-	if ok && b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
+	if b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
 		return
 	}
 	if b.gap == 0 {
@@ -187,7 +189,8 @@
 	b.gap, b.cutAt = min(max(b.gap*3/2, b.usual()/4), b.usual()), b.now
 }
 
-// usual is the time between connections as they usually come, one in the time a limit grows back at the least.
+// usual is the time between connections as they usually come, one in the time a limit grows back at the
+// least.
 func (b *Brain) usual() time.Duration {
 	return time.Duration(float64(time.Second) / max(b.rate, 1/b.recover.Seconds()))
 }
@@ -395,7 +398,7 @@
 	if r, a := b.running(e.ID, e.Attempt); r != nil && r.conn == nil {
 		r.conn = a.to
 		b.placed++
-		b.shared(r, a, e.Took, true)
+		b.shared(r, a, e.Took)
 		b.well(r.conn)
 	}
 }
@@ -415,11 +418,11 @@
 	case e.Outcome == NoConnect:
 		b.strike(s, 4*aim)
 	case e.Outcome == NoAnswer:
-		if b.shared(r, a, min(e.Took, aim), true); e.Took >= aim {
+		if b.shared(r, a, min(e.Took, aim)); e.Took >= aim {
 			b.strike(s, 4*aim)
 		}
 	case e.Outcome == Errored || e.Outcome == Full || e.Outcome == Reset:
-		b.shared(r, a, e.Took, false)
+		b.shared(r, a, 2*aim)
 		b.strike(s, aim)
 	}
 	b.count(s, r, -1)
