--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -196,3 +196,24 @@
 		t.Error("it never eases")
 	}
 }
+
+// A node that starts from a list that lacks one server must agree with its peers on nearly all entries that the
+// missing one does not hold: mid-flow arrivals are found by them.
+func TestFreshTablesOfNearlyAlikeListsAgree(t *testing.T) {
+	whole, lacking := sized(t, 0, 160, 60), New(testSettings())
+	lacking.Handle(0, ListEvent{Kind: ListCached, Version: 1, Servers: fleetOf(60)[1:]})
+	same, all := 0, 0
+	for i, s := range whole.table.first {
+		if s.id == "s00" {
+			continue
+		}
+		if all++; lacking.table.first[i].id == s.id {
+			same++
+		}
+	}
+	if part := float64(same) / float64(all); part < 0.9 {
+		t.Errorf("%.3f of the entries that the missing server does not hold agree", part)
+	} else {
+		t.Logf("%.3f agree", part)
+	}
+}
