--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -367,13 +367,18 @@
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 0))
 		set := testSettings()
-		set.Seed = seed
+		set.Seed, set.MayProbe, set.Reports = seed, seed%2 == 1, seed%2 == 1
+		servers := 8
+		if seed%4 > 1 { // a large fleet behind many nodes
+			servers, set.GroupSize = 100, 160
+		}
 		nodes := []*Brain{New(set), New(set)}
 		told := map[ServerID]time.Duration{} // when a server was told to drain
 		live := map[RequestID]int{}          // open attempts by request
 		sent := map[RequestID]int{}
 		done := map[RequestID]bool{}
 		now := time.Duration(0)
+		var probed []ServerID // whose answer is not in yet
 		step := func(e Event) {
 			out := nodes[0].Handle(now, e)
 			if twin := nodes[1].Handle(now, e); fmt.Sprint(twin) != fmt.Sprint(out) {
@@ -406,10 +411,15 @@
 					done[a.ID] = true
 				case Move:
 					done[a.ID] = true
+				case Probe:
+					if !set.MayProbe {
+						t.Fatalf("seed %d: a probe where none is allowed", seed)
+					}
+					probed = append(probed, a.Server)
 				}
 			}
 		}
-		step(ListEvent{Kind: ListCached, Servers: fleetOf(8)})
+		step(ListEvent{Kind: ListCached, Servers: fleetOf(servers)})
 		var ids []RequestID
 		opened := map[RequestID]bool{}
 		for i := range 3000 {
@@ -442,7 +452,7 @@
 			case k == 16 && len(ids) > 0:
 				step(SlowNote{ID: ids[rng.IntN(len(ids))], Message: time.Duration(rng.IntN(400)) * ms})
 			case k == 17:
-				c := fleetOf(8)[rng.IntN(8)]
+				c := fleetOf(servers)[rng.IntN(8)]
 				c.State = ServerState(rng.IntN(3))
 				if delete(told, c.ID); c.State == Live {
 					c.Since = now
@@ -463,6 +473,11 @@
 				step(Timer{Token: sweepToken})
 				step(Timer{Token: waitToken})
 			}
+			if len(probed) > 0 && rng.IntN(3) > 0 { // the rest of the answers are lost
+				to := probed[0]
+				probed = probed[1:]
+				step(Probed{Server: to, Outcome: Outcome(rng.IntN(2)), Excess: 1.5 * rng.Float64()})
+			}
 		}
 		// When every attempt has ended, nothing is held.
 		for range 3 {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	ejectable = 0.5 // the share of the fleet that suspicion may shut out: more is no server's fault
-	// A cut aims at headroom, a part of what the server can do, and leaves mostCut at the least, as the message
-	// times of a second are a rough measure.
-	headroom, mostCut = 0.85, 0.5
+	ejectable = 0.5  // the share of the fleet that suspicion may shut out: more is no server's fault
+	headroom  = 0.85 // the part of what a server can do that a cut aims at
 	// room is the load that a server's report may show for one more connection: reports are late, and other
 	// nodes send meanwhile.
 	room       = 0.75
@@ -186,7 +184,7 @@
 	s.message, s.messageAt = message, b.now
 	keep := headroom / max(headroom/2, 1+float64(message-was)/float64(span))
 	if b.aim > 0 && message > b.aim/2 && keep < 1 {
-		b.cut(s, max(keep, mostCut))
+		b.cut(s, keep)
 	}
 }
 
