--- /dev/null
+++ b/internal/driver/attempt.go
@@ -0,0 +1,132 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/node"
+	"onyxstream/internal/wire"
+)
+
+// Stage says how far an attempt had come when it ended.
+type Stage uint8
+
+// The stages of an attempt.
+const (
+	Dialing   Stage = iota // no connection yet
+	Asking                 // connected; the loop has not said that the line may still go
+	Writing                // not all of the line was written
+	Awaiting               // the host has it all
+	Answering              // the host has answered
+)
+
+func (s Stage) String() string {
+	return [...]string{"dialing", "asking", "writing", "awaiting", "answering"}[s]
+}
+
+// AttemptError is the end of an attempt that did not bring the connection up, with how far it had
+// come: that decides whether the host may have run it.
+type AttemptError struct {
+	Stage Stage
+	Err   error
+}
+
+func (e *AttemptError) Error() string { return e.Stage.String() + ": " + e.Err.Error() }
+
+// Unwrap returns what ended the attempt.
+func (e *AttemptError) Unwrap() error { return e.Err }
+
+var (
+	errWithdrawn = errors.New("withdrawn")
+	errTooLate   = errors.New("the host may get nothing new any more")
+	errFull      = errors.New("the host turned it away")
+	errHost      = errors.New("the host answered with an error")
+	errMoved     = errors.New("the host sends its clients away")
+)
+
+// Outcome puts the error in the module's terms.
+func (e *AttemptError) Outcome() brain.Outcome {
+	switch {
+	case errors.Is(e.Err, errWithdrawn):
+		return brain.Cancelled
+	case e.Stage == Asking:
+		return brain.NeverPassed
+	case e.Stage < Awaiting:
+		return brain.NoConnect
+	case errors.Is(e.Err, errFull):
+		return brain.Full
+	case errors.Is(e.Err, errMoved):
+		return brain.Cancelled
+	case e.Stage == Answering:
+		return brain.Errored
+	case timedOut(e.Err):
+		return brain.NoAnswer
+	}
+	return brain.Reset
+}
+
+// attempt makes one attempt: one dial, one line, one answer. On success the host's connection is up,
+// upLine is what the host gave and in holds what came behind it. On failure the connection is closed.
+// may is asked between connect and write, since a send counts from its first byte.
+func attempt(ctx context.Context, a node.Attempt, o *wire.Opening, connect time.Duration, may func() error,
+	in *wire.Inbox) (host *net.TCPConn, upLine []byte, failed *AttemptError) {
+	by := time.Now().Add(a.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	fail := func(s Stage, err error) (*net.TCPConn, []byte, *AttemptError) {
+		if host != nil {
+			_ = host.Close()
+		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			err = errWithdrawn
+		}
+		return nil, nil, &AttemptError{s, err}
+	}
+	dialer := net.Dialer{Timeout: connect, KeepAlive: -1}
+	c, err := dialer.DialContext(ctx, "tcp", a.Addr)
+	if err != nil {
+		return fail(Dialing, err)
+	}
+	host = c.(*net.TCPConn)
+	if err := may(); err != nil {
+		return fail(Asking, err)
+	}
+	// Setting the deadline wakes whatever read or write is under way.
+	stop := context.AfterFunc(ctx, func() { _ = host.SetDeadline(past) })
+	line := o.Forward(time.Until(by))
+	if n, err := host.Write(line); n < len(line) {
+		return fail(Writing, err)
+	}
+	for {
+		line, ok, err := in.Next()
+		if err != nil {
+			return fail(Answering, err)
+		}
+		if ok {
+			switch wire.ParseAnswer(line) {
+			case wire.AnswerUp:
+				if !stop() { // the time was up, or it was withdrawn, just now
+					return fail(Awaiting, context.Cause(ctx))
+				}
+				return host, append(append([]byte(nil), line...), '\r', '\n'), nil
+			case wire.AnswerBusy:
+				return fail(Answering, errFull)
+			case wire.AnswerMove:
+				return fail(Answering, errMoved)
+			}
+			return fail(Answering, errHost)
+		}
+		n, err := host.Read(in.Space())
+		in.Fed(n)
+		if n == 0 && err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return fail(Awaiting, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/driver/conn.go
@@ -0,0 +1,523 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/node"
+	"onyxstream/internal/wire"
+)
+
+// command is what the loop tells a connection that is not up yet.
+type command struct {
+	send  *node.Attempt
+	reply string // a final answer, "" for none
+}
+
+// started is what pulses are timed from: the monotonic clock has no figure of its own.
+var started = time.Now()
+
+// nanos is a time as a figure that is never 0.
+func nanos(t time.Time) int64 { return int64(t.Sub(started)) + 1 }
+
+// conn is a client's connection. One goroutine, serve, drives it until it is up and then copies from
+// the host to the client; another, upward, reads the client.
+type conn struct {
+	d      *Driver
+	client *net.TCPConn
+	within bool // counted in the budget; else it is to be refused
+	open   wire.Opening
+	id     brain.RequestID
+
+	cmds    chan command
+	verdict chan bool     // the loop's answer to Connected
+	gone    chan struct{} // closed when the client has left before it was up
+	up      chan struct{} // closed when the connection is up
+	ended   chan struct{} // closed when serve has no more use for the client
+
+	mu       sync.Mutex
+	withdraw context.CancelFunc // of the attempt under way
+	running  int                // its number
+	host     *net.TCPConn       // set when up
+	aborted  bool
+
+	moving   atomic.Bool
+	leftFIN  atomic.Bool // the client ended its side
+	leftRST  atomic.Bool // the client broke
+	waiting  atomic.Int64
+	took     atomic.Int64
+	answered atomic.Uint64
+}
+
+// The loop's side. None of it blocks: a connection that does not take its commands is broken.
+
+func (c *conn) tell(cmd command) {
+	select {
+	case c.cmds <- cmd:
+	default:
+		c.abort()
+	}
+}
+
+func (c *conn) Send(a node.Attempt)        { c.tell(command{send: &a}) }
+func (c *conn) Refuse(after time.Duration) { c.tell(command{reply: wire.Busy(after)}) }
+func (c *conn) Fail()                      { c.tell(command{reply: wire.Fail}) }
+
+func (c *conn) Go(_ int, ok bool) {
+	select {
+	case c.verdict <- ok:
+	default:
+	}
+}
+
+func (c *conn) Cancel(attempt int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.withdraw != nil && c.running == attempt {
+		c.withdraw()
+	}
+}
+
+// Move wakes the copying goroutine, which alone knows where a line ends.
+func (c *conn) Move() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host != nil && !c.moving.Swap(true) {
+		_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
+		_ = c.host.SetReadDeadline(past)
+	}
+}
+
+func (c *conn) Pulse(now time.Time) node.Pulse {
+	p := node.Pulse{Answered: c.answered.Load(), Took: time.Duration(c.took.Load())}
+	if since := c.waiting.Load(); since != 0 {
+		p.Waiting = time.Duration(nanos(now) - since)
+	}
+	return p
+}
+
+// abort resets both sides; serve and upward end on it.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	c.leave()
+	if c.withdraw != nil {
+		c.withdraw()
+	}
+	if c.host != nil {
+		reset(c.host)
+	}
+	reset(c.client)
+}
+
+// serve is the life of the connection.
+func (c *conn) serve() {
+	defer c.client.Close()
+	var in wire.Inbox
+	defer in.Free()
+	if !c.hello(&in) {
+		return
+	}
+	until := time.Now().Add(c.open.Wait)
+	c.id = brain.RequestID(c.open.ID)
+	if !c.within {
+		c.d.log.Info("a client is refused: the sockets are used up")
+		c.finish(wire.Busy(min(time.Second, c.d.cfg.MaxRetryAfter)))
+		return
+	}
+	var reader sync.WaitGroup
+	reader.Add(1)
+	go func() {
+		defer reader.Done()
+		defer c.d.caught("reading a client failed badly")
+		c.upward(&in)
+	}()
+	defer reader.Wait()
+	defer c.endClient()
+	c.drive(until)
+}
+
+// endClient ends the client's side once serve has nothing more for it.
+func (c *conn) endClient() {
+	close(c.ended)
+	_ = c.client.SetReadDeadline(past)
+}
+
+// hello reads the first line; false when there is nothing more to do. A half line or one that is no
+// OPEN ends with an answer or the end of the connection, never with a client that waits for ever.
+func (c *conn) hello(in *wire.Inbox) bool {
+	_ = c.client.SetReadDeadline(time.Now().Add(firstLine))
+	for {
+		line, ok, err := in.Next()
+		if err == nil && !ok {
+			n, err := c.client.Read(in.Space())
+			if in.Fed(n); n == 0 && err != nil {
+				return false
+			}
+			continue
+		}
+		var kind wire.Hello
+		if err == nil {
+			kind, c.open, err = wire.ParseHello(line)
+		}
+		switch {
+		case err != nil:
+			c.d.log.Info("a client's first line can't be read", zap.Error(err))
+			c.finish(wire.Fail)
+			return false
+		case kind == wire.HelloPing:
+			_ = c.client.SetReadDeadline(time.Now().Add(idlePing))
+			if _, err := io.WriteString(c.client, wire.Pong); err != nil {
+				return false
+			}
+		default:
+			if c.open.Wait <= 0 {
+				c.open.Wait = c.d.cfg.Patience
+			}
+			_ = c.client.SetReadDeadline(time.Time{})
+			return true
+		}
+	}
+}
+
+// drive waits for the loop's word, makes the attempts and, once up, copies to the client.
+func (c *conn) drive(until time.Time) {
+	final, out := false, -1 // has the client had its answer; which attempt owes an outcome
+	defer func() {
+		if p := recover(); p != nil {
+			c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.String("request", c.open.ID))
+			c.mu.Lock()
+			if c.host != nil {
+				_ = c.host.Close()
+			}
+			c.mu.Unlock()
+			if out >= 0 {
+				c.d.node.Settled(c.id, out, 0, brain.Reset)
+			}
+		}
+		if !final {
+			c.d.node.Gone(c.id)
+			c.finish(wire.Fail)
+		}
+	}()
+	if c.open.At != "" {
+		final = c.resume(&out)
+		return
+	}
+	backstop := time.NewTimer(time.Until(until) + c.d.cfg.AnswerSlack)
+	defer backstop.Stop()
+	c.d.node.Arrive(&c.open, until, c)
+	for {
+		select {
+		case <-c.gone:
+			final = true
+			c.d.node.Gone(c.id)
+			return
+		case <-backstop.C:
+			// The module answers in time; this is for what it never heard of, or what failed on the way.
+			c.d.log.Info("a request was answered by the backstop", zap.String("request", c.open.ID))
+			return
+		case cmd := <-c.cmds:
+			if cmd.send == nil {
+				final = true
+				c.finish(cmd.reply)
+				return
+			}
+			out = cmd.send.N
+			start := time.Now()
+			var in wire.Inbox
+			host, upLine, failed := c.try(*cmd.send, &in)
+			took := time.Since(start)
+			if failed != nil {
+				in.Free()
+				c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID), zap.Error(failed))
+				c.d.node.Settled(c.id, out, took, failed.Outcome())
+				out = -1
+				continue
+			}
+			final = true
+			if c.raise(host) {
+				c.d.node.Opened(c.id, out, took)
+				c.relay(host, &in, upLine, out, start)
+			} else {
+				_ = host.Close()
+				in.Free()
+				c.d.node.Settled(c.id, out, took, brain.Cancelled)
+				c.d.node.Gone(c.id)
+			}
+			out = -1
+			return
+		}
+	}
+}
+
+// try makes one attempt that the loop, or the client by leaving, can withdraw.
+func (c *conn) try(a node.Attempt, in *wire.Inbox) (*net.TCPConn, []byte, *AttemptError) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.mu.Lock()
+	c.withdraw, c.running = cancel, a.N
+	if c.aborted {
+		cancel()
+	}
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.withdraw = nil
+		c.mu.Unlock()
+	}()
+	select {
+	case <-c.gone:
+		cancel()
+	default:
+	}
+	select {
+	case <-c.verdict: // an answer to an attempt that did not wait for it
+	default:
+	}
+	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, func() error {
+		c.d.node.Connected(c.id, a.N)
+		select {
+		case ok := <-c.verdict:
+			if !ok {
+				return errTooLate
+			}
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}, in)
+}
+
+// raise marks the connection as up; false where the client has left or the node ends.
+func (c *conn) raise(host *net.TCPConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.gone:
+		return false
+	default:
+	}
+	if c.aborted {
+		return false
+	}
+	_ = host.SetDeadline(time.Time{})
+	c.host = host
+	close(c.up)
+	return true
+}
+
+const (
+	resumeFor   = 30 * time.Second // how long a connection that stood before the run is tried to be taken up
+	resumePause = 250 * time.Millisecond
+)
+
+// resume takes up a connection that stood at its host before the run: its line goes there and nowhere
+// else. The host may not be ready yet, so what never reached it is tried again. It reports whether the
+// client has had its answer.
+func (c *conn) resume(out *int) bool {
+	by := time.Now().Add(resumeFor)
+	for time.Now().Before(by) {
+		addr := c.d.node.Addr(brain.ServerID(c.open.At))
+		if addr == "" && c.pause() {
+			continue // the list may yet name it
+		} else if addr == "" {
+			return true
+		}
+		var in wire.Inbox
+		start := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		c.mu.Lock()
+		c.withdraw, c.running = cancel, 0
+		c.mu.Unlock()
+		host, upLine, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: max(c.open.Wait, c.d.cfg.Patience)},
+			&c.open, c.d.cfg.ConnectTimeout, func() error { return nil }, &in)
+		cancel()
+		if failed == nil {
+			if !c.raise(host) {
+				_ = host.Close()
+				return true
+			}
+			*out = 0
+			c.d.node.Inherit(&c.open, c)
+			c.relay(host, &in, upLine, 0, start)
+			*out = -1
+			return true
+		}
+		in.Free()
+		c.d.log.Info("a connection could not be taken up", zap.String("host", c.open.At), zap.Error(failed))
+		if failed.Outcome() != brain.NoConnect {
+			break
+		}
+		if !c.pause() {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits before the next try; false when the client has left.
+func (c *conn) pause() bool {
+	select {
+	case <-c.gone:
+		return false
+	case <-time.After(resumePause):
+		return true
+	}
+}
+
+// finish gives the client a line as its last word and ends the connection by FIN. What the client may
+// still say is read for a moment: closing on unread bytes would send a reset after the answer.
+func (c *conn) finish(line string) {
+	_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
+	_, _ = io.WriteString(c.client, line)
+	c.linger()
+}
+
+// linger ends the node's side and waits for the client's end.
+func (c *conn) linger() {
+	_ = c.client.CloseWrite()
+	_ = c.client.SetReadDeadline(time.Now().Add(lingerFor))
+	buf := wire.GetBuffer()
+	defer buf.Free()
+	for {
+		if _, err := c.client.Read(buf[:]); err != nil {
+			return
+		}
+	}
+}
+
+// relay passes lines from the host to the client until one side ends, and ends the other alike.
+func (c *conn) relay(host *net.TCPConn, first *wire.Inbox, upLine []byte, attempt int, start time.Time) {
+	r := wire.Relay{Inbox: *first}
+	defer r.Free()
+	_, err := c.client.Write(upLine)
+	stuck := err != nil // the client does not take what is for it
+	for err == nil {
+		chunk, seen := r.Whole()
+		if seen.Lines > 0 {
+			if since := c.waiting.Swap(0); since != 0 {
+				c.took.Store(nanos(time.Now()) - since)
+				c.answered.Add(1)
+			}
+		}
+		if seen.Load > 0 {
+			c.d.node.Load(c.id, seen.Load)
+		}
+		if len(chunk) > 0 {
+			_, err = c.client.Write(chunk)
+			stuck = err != nil
+			continue
+		}
+		var n int
+		n, err = host.Read(r.Space())
+		r.Fed(n)
+		if n > 0 {
+			err = nil
+		}
+	}
+	c.part(host, &r, err, stuck, attempt, start)
+}
+
+// part ends both sides after the relay has: err is what ended it.
+func (c *conn) part(host *net.TCPConn, r *wire.Relay, err error, stuck bool, attempt int, start time.Time) {
+	outcome := brain.Reset
+	left := c.leftFIN.Load() || c.leftRST.Load()
+	switch {
+	case r.Last() == wire.AnswerBye:
+		outcome = brain.Served
+	case r.Last() == wire.AnswerMove || left || c.moving.Load():
+		outcome = brain.Cancelled
+	}
+	if c.leftRST.Load() {
+		reset(host)
+	} else {
+		_ = host.Close()
+	}
+	c.d.node.Settled(c.id, attempt, time.Since(start), outcome)
+	switch {
+	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
+		c.stopReading()
+		c.finish(wire.Move)
+	case errors.Is(err, io.EOF):
+		_, _ = c.client.Write(r.Rest()) // a last line without its end
+		c.stopReading()
+		c.linger()
+	case left:
+	default:
+		reset(c.client)
+	}
+}
+
+// stopReading ends upward, so that the client's last bytes are read by linger alone.
+func (c *conn) stopReading() {
+	_ = c.client.SetReadDeadline(past)
+}
+
+// upward reads the client: before the connection is up to learn that it leaves, then to pass its lines
+// on. What comes early waits in the buffer.
+func (c *conn) upward(in *wire.Inbox) {
+	for {
+		if early := in.Rest(); len(early) > 0 {
+			select {
+			case <-c.up:
+			case <-c.ended:
+				return
+			}
+			c.waiting.CompareAndSwap(0, nanos(time.Now()))
+			if _, err := c.host.Write(early); err != nil {
+				return // the other goroutine meets the broken host too, and ends the client like it
+			}
+			in.Drop(len(early))
+			continue
+		}
+		n, err := c.client.Read(in.Space())
+		in.Fed(n)
+		if n == 0 && err != nil {
+			c.left(err)
+			return
+		}
+	}
+}
+
+// leave closes gone once; mu is held.
+func (c *conn) leave() {
+	select {
+	case <-c.gone:
+	default:
+		close(c.gone)
+	}
+}
+
+// left notes that the client has ended its side.
+func (c *conn) left(err error) {
+	if timedOut(err) || errors.Is(err, net.ErrClosed) { // this node's own doing
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host == nil {
+		c.leave()
+		if c.withdraw != nil {
+			c.withdraw()
+		}
+		return
+	}
+	if isReset(err) {
+		c.leftRST.Store(true)
+		_ = c.host.SetReadDeadline(past)
+		return
+	}
+	c.leftFIN.Store(true)
+	_ = c.host.CloseWrite()
+	_ = c.host.SetReadDeadline(time.Now().Add(lingerFor))
+}
--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,100 @@
+// Package lifecycle starts and stops the node: configuration, listener, signals, drain and exit.
+package lifecycle
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// Config is what the platform tells a node.
+type Config struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   wire.Catalog
+	Settings                settings.Settings
+}
+
+// file is the configuration as it is written.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    wire.Catalog    `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// leastSockets is what a node needs to serve a handful of clients.
+const leastSockets = 64
+
+// Load reads the file that PROXY_CONFIG names. What it lacks is taken from the variables beside it.
+func Load() (Config, error) {
+	path := os.Getenv("PROXY_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("PROXY_CONFIG is not set: it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("the configuration can't be read: %w", err)
+	}
+	return parse(text)
+}
+
+func parse(text []byte) (Config, error) {
+	f := file{Name: os.Getenv("PROXY_NAME"), Listen: os.Getenv("PROXY_LISTEN"), Discovery: os.Getenv("PROXY_DISCOVERY")}
+	if err := json.Unmarshal(text, &f); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return Config{}, fmt.Errorf("configuration, field %q: a %s does not fit", kind.Field, kind.Value)
+		}
+		return Config{}, fmt.Errorf("the configuration can't be read: %w", err)
+	}
+	wrong := func(field string, err error) (Config, error) {
+		return Config{}, fmt.Errorf("configuration, field %q: %w", field, err)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return wrong("seed", fmt.Errorf("%q is no hexadecimal figure of 64 bits", f.Seed))
+	}
+	for _, addr := range []struct{ field, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+		if _, err := net.ResolveTCPAddr("tcp", addr.value); err != nil || addr.value == "" {
+			return wrong(addr.field, fmt.Errorf("%q is no address and port", addr.value))
+		}
+	}
+	switch {
+	case f.Limits.Cores <= 0:
+		return wrong("limits.cores", fmt.Errorf("%g is out of range", f.Limits.Cores))
+	case f.Limits.MemoryMB <= 0:
+		return wrong("limits.memory_mb", fmt.Errorf("%d is out of range", f.Limits.MemoryMB))
+	case f.Limits.Sockets < leastSockets:
+		return wrong("limits.sockets", fmt.Errorf("%d is under %d, the least that a node can work with", f.Limits.Sockets, leastSockets))
+	}
+	if err := f.Known.Check(); err != nil {
+		return wrong("known", err)
+	}
+	if len(f.Settings) == 0 {
+		return wrong("settings", errors.New("missing"))
+	}
+	set, err := settings.Parse(seed, f.Settings)
+	var bad *settings.FieldError
+	if errors.As(err, &bad) && bad.Field != "" {
+		return wrong("settings."+bad.Field, bad.Err)
+	} else if err != nil {
+		return wrong("settings", err)
+	}
+	return Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known, Settings: set}, nil
+}
--- /dev/null
+++ b/internal/lifecycle/run.go
@@ -0,0 +1,126 @@
+package lifecycle
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"onyxstream/brain"
+	"onyxstream/internal/driver"
+	"onyxstream/internal/node"
+)
+
+const (
+	// noticed is when the front has surely noticed that a node stops and sends it no one any more.
+	noticed = 600 * time.Millisecond
+	// killGrace is how much later than the longest deadline the platform kills at the soonest; mostWait
+	// is the longest deadline that it waits for.
+	killGrace = 700 * time.Millisecond
+	mostWait  = 3 * time.Second
+	// early is how much before that the node is gone.
+	early = 200 * time.Millisecond
+	poll  = 20 * time.Millisecond
+)
+
+// outside gives the loop the sockets beside its connections.
+type outside struct {
+	*driver.Discovery
+	*driver.Driver
+}
+
+// Run is a node's life, from its configuration to a signal to stop.
+func Run() error {
+	cfg, err := Load()
+	if err != nil {
+		return err
+	}
+	log := logger(cfg.Name)
+	defer func() { _ = log.Sync() }()
+	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
+	// Stacks and sockets count too: the collector gets three quarters.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+
+	d, y := newDriver(cfg, log), driver.NewDiscovery(cfg.Discovery, log)
+	n := node.New(cfg.Settings, cfg.Known, outside{y, d}, log)
+	d.Attach(n)
+	y.Attach(n)
+
+	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancelStop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := driver.Listen(ctx, cfg.Listen)
+	if err != nil {
+		return err
+	}
+	log.Info("started", zap.String("listen", cfg.Listen), zap.Int("hosts known", len(cfg.Known.Members)))
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.Run(ctx) })
+	g.Go(func() error { return y.Run(ctx) })
+	g.Go(func() error { return d.Serve(l) })
+	g.Go(func() error {
+		select {
+		case <-stop.Done():
+			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
+			drain(n, cfg.Settings.Settings)
+			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
+		case <-ctx.Done():
+		}
+		_ = l.Close()
+		d.Abort()
+		cancel()
+		return nil
+	})
+	return g.Wait()
+}
+
+// drain goes on serving until the front has noticed and nothing is owed. Where packets pass through,
+// what is open then goes on by way of other nodes; elsewhere every client is sent away, spread over the
+// time there is so that the others don't get them all at once.
+func drain(n *node.Node, set brain.Settings) {
+	start := time.Now()
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	by := start.Add(min(longest, mostWait) + killGrace - early)
+	time.Sleep(noticed)
+	if !set.Pass {
+		n.MoveAll(by.Add(-4 * early))
+	}
+	for time.Now().Before(by) && (n.Owed() > 0 || !set.Pass && n.Open() > 0) {
+		time.Sleep(poll)
+	}
+}
+
+func newDriver(cfg Config, log *zap.Logger) *driver.Driver {
+	patience := time.Second
+	for _, c := range cfg.Settings.Classes {
+		patience = max(patience, c.Deadline)
+	}
+	return driver.New(driver.Config{Sockets: cfg.Sockets, ConnectTimeout: cfg.Settings.ConnectTimeout,
+		AnswerSlack: cfg.Settings.AnswerSlack, Patience: patience, MaxRetryAfter: cfg.Settings.MaxRetryAfter,
+		Reports: cfg.Settings.Reports}, log)
+}
+
+// logger writes lines to standard error. Of one message only the first few of a second and then every
+// hundredth get through: trouble comes in thousands, and the log must not become trouble of its own.
+func logger(name string) *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	level := zap.InfoLevel
+	if os.Getenv("PROXY_DEBUG") != "" {
+		level = zap.DebugLevel
+	}
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), level)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 20, 100)).With(zap.String("node", name))
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// member is a host as the node knows it.
+type member struct {
+	id     brain.ServerID
+	addr   string
+	state  brain.ServerState
+	toldAt time.Time // when it was told to drain or be gone
+
+	// How messages fare there, see pulse.
+	took []time.Duration
+	some brain.RequestID // one of the connections that stand there
+	slow bool            // the last note was over the bound
+}
+
+const (
+	// A dial may come up just before the grace ends; between the loop's word and the first byte lies the
+	// connection's own turn on a busy core.
+	graceMargin = 20 * time.Millisecond
+	// forgetAfter is how long a member that is gone keeps its address, for attempts under way.
+	forgetAfter = time.Minute
+)
+
+var states = map[wire.Phase]brain.ServerState{
+	wire.Serving: brain.Live, wire.Draining: brain.Draining, wire.Deleted: brain.Gone,
+}
+
+// list takes in news of the hosts and tells the module.
+func (n *Node) list(c *wire.Catalog, kind brain.ListKind) {
+	now := time.Now()
+	ev := brain.ListEvent{Kind: kind, Version: c.Revision, Servers: make([]brain.Server, 0, len(c.Members))}
+	named := make(map[brain.ServerID]bool, len(c.Members))
+	for _, e := range c.Members {
+		id := brain.ServerID(e.ID)
+		named[id] = true
+		m := n.members[id]
+		if m == nil {
+			m = &member{id: id}
+			n.members[id] = m
+		}
+		m.addr = e.Addr
+		m.tell(states[e.Phase], now)
+		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
+			Since: time.Duration(e.UpSince) * time.Millisecond}
+		if z, ok := n.zones[e.Zone]; ok {
+			s.Zone = z
+		}
+		ev.Servers = append(ev.Servers, s)
+	}
+	for id, m := range n.members {
+		if kind != brain.ListChange && !named[id] {
+			m.tell(brain.Gone, now)
+		}
+		if m.state == brain.Gone && now.Sub(m.toldAt) > forgetAfter {
+			delete(n.members, id)
+		}
+	}
+	n.revision = c.Revision
+	n.decide(ev)
+}
+
+// tell notes a member's state; the grace runs from the first word that it leaves.
+func (m *member) tell(state brain.ServerState, now time.Time) {
+	if m.state == brain.Live && state != brain.Live {
+		m.toldAt = now
+	}
+	m.state = state
+}
+
+// sendable reports whether the rules still let a line be sent to a member: the dial may have taken
+// longer than the grace had left.
+func (n *Node) sendable(m *member) bool {
+	return m.state == brain.Live || time.Since(m.toldAt) < n.set.DrainGrace-graceMargin
+}
+
+const (
+	tickEvery = 250 * time.Millisecond
+	noteEvery = 4 // ticks: the simulator tells of slow messages once a second
+	// silence is how long a message may wait for anything from its host, with room to send the client
+	// away before the seven seconds that the protocol allows.
+	silence = 5 * time.Second
+)
+
+// pulse looks after what stands: hosts that have gone silent, clients that are to leave, and, once a
+// second, the time that messages take at each host.
+func (n *Node) pulse(now time.Time) {
+	n.tick++
+	if !n.set.AskList && !n.watching && now.After(n.watchAt) {
+		n.watch()
+	}
+	n.moveSome(now)
+	measure := n.tick%noteEvery == 0
+	for id, r := range n.reqs {
+		if !r.up || !r.out || r.leaving {
+			continue
+		}
+		p := r.port.Pulse(now)
+		if p.Waiting > silence {
+			n.log.Info("a host says nothing: its client is moved", zap.String("host", string(r.on.id)),
+				zap.Duration("silent", p.Waiting))
+			n.move(r)
+		}
+		if !measure {
+			continue
+		}
+		m := r.on
+		if m.some == "" || id < m.some { // whichever way the map is walked, the same one speaks for all
+			m.some = id
+		}
+		if p.Answered != r.told {
+			r.told = p.Answered
+			m.took = append(m.took, p.Took)
+		}
+		// One that waits longer than is well tells as much as an answer that took that long.
+		if p.Waiting > n.slowFrom {
+			m.took = append(m.took, p.Waiting)
+		}
+	}
+	if measure {
+		n.notes()
+	}
+}
+
+// notes tells the module what a message takes at each host where that is slow, and once more when it is
+// well again. The middle one of the second's messages counts: one that met a hiccup of this machine is
+// no news of the host.
+func (n *Node) notes() {
+	from := n.slowFrom
+	ids := make([]brain.ServerID, 0, len(n.members))
+	for id, m := range n.members {
+		if len(m.took) > 0 && from > 0 {
+			ids = append(ids, id)
+			continue
+		}
+		m.took, m.some = m.took[:0], ""
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		m := n.members[id]
+		slices.Sort(m.took)
+		middle := m.took[(len(m.took)-1)/2]
+		some := m.some
+		was := m.slow
+		m.slow = middle > from
+		m.took, m.some = m.took[:0], ""
+		if m.slow || was {
+			n.decide(brain.SlowNote{ID: some, Message: middle})
+		}
+	}
+}
+
+// moveSome sends away the part of the clients whose turn has come, where the node is to be gone soon.
+func (n *Node) moveSome(now time.Time) {
+	if n.moveBy.IsZero() {
+		return
+	}
+	turns := max(int(n.moveBy.Sub(now)/tickEvery), 1)
+	most := (int(n.open.Load()) + turns - 1) / turns
+	for _, r := range n.reqs {
+		if most == 0 {
+			return
+		}
+		if r.up && r.out && !r.leaving {
+			n.move(r)
+			most--
+		}
+	}
+}
+
+// rewatch is how long a node waits before it watches again where the list need not be asked for; nodes
+// that lost it together come back apart.
+func rewatch(index int) time.Duration {
+	return 300*time.Millisecond + time.Duration(index%8)*50*time.Millisecond
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,482 @@
+// Package node keeps what a node holds in memory: one goroutine, Run, owns the decision module, the
+// requests, the members and the timers. Connections and discovery post events and are told what to do
+// through a Port; neither side ever waits for the other in a cycle, since Run never blocks on them.
+// It decides nothing.
+package node
+
+import (
+	"context"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// Port is a client's connection as the loop sees it. None of its methods may block.
+type Port interface {
+	Send(Attempt)               // start an attempt
+	Go(attempt int, ok bool)    // answers Connected: the line may be written, or no more
+	Cancel(attempt int)         // withdraw an attempt that has brought no answer
+	Refuse(after time.Duration) // final answer BUSY
+	Fail()                      // final answer FAIL
+	Move()                      // send the client away between two lines
+	Pulse(now time.Time) Pulse  // how its messages fare
+}
+
+// Attempt is what a connection needs to know of a send.
+type Attempt struct {
+	N       int
+	Addr    string
+	Timeout time.Duration
+}
+
+// Pulse tells how a connection's messages fare.
+type Pulse struct {
+	Answered uint64        // how many messages have had their answer
+	Took     time.Duration // by the last of them
+	Waiting  time.Duration // how long the oldest one without an answer has waited; 0 for none
+}
+
+// Outside is what the loop needs of the sockets beside its ports. None of it may block.
+type Outside interface {
+	Watch(after int64) // ask discovery for the changes after a version
+	Probe(id brain.ServerID, addr string)
+}
+
+// Node is the memory of one node.
+type Node struct {
+	set     settings.Settings
+	brain   *brain.Brain
+	outside Outside
+	log     *zap.Logger
+	base    time.Time
+	events  chan event
+	done    chan struct{}
+
+	queue    []brain.Event // not yet handled by the module
+	reqs     map[brain.RequestID]*request
+	members  map[brain.ServerID]*member
+	classes  map[string]int
+	tenants  map[string]int
+	zones    map[string]int
+	revision int64
+	slowFrom time.Duration // the time of a message from which on the module is told, 0 for never
+	timers   timers
+	watching bool      // sites that need not be asked: a watch is on or under way
+	watchAt  time.Time // when to watch again there
+	tick     int
+	moveBy   time.Time // all clients are to be gone by then; zero while the node stays
+
+	owed, open atomic.Int64
+}
+
+// request is a client's connection, wanted or open.
+type request struct {
+	port     Port
+	on       *member
+	attempts int  // sends so far
+	out      bool // the last of them has brought no outcome yet
+	up       bool
+	answered bool   // has had its final answer
+	leaving  bool   // told to move
+	told     uint64 // messages of it that were counted
+}
+
+// The events of connections and discovery, as one flat type: a report of load costs no memory.
+type kind uint8
+
+const (
+	evArrive kind = iota
+	evInherit
+	evConnected
+	evOpened
+	evSettled
+	evLoad
+	evGone
+	evList
+	evWatchFailed
+	evProbed
+	evMoveAll
+	evAddr
+)
+
+type event struct {
+	kind    kind
+	id      brain.RequestID
+	attempt int
+	took    time.Duration
+	outcome brain.Outcome
+	load    float64
+	port    Port
+	opening *wire.Opening
+	until   time.Time
+	list    *wire.Catalog
+	reply   chan string
+}
+
+// New makes a node that knows its settings and the list as it was last held.
+func New(set settings.Settings, known wire.Catalog, outside Outside, log *zap.Logger) *Node {
+	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(),
+		events: make(chan event, 1024), done: make(chan struct{}),
+		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
+		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
+	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
+	for _, c := range set.Classes {
+		if from := c.MessageAim / 3; from > 0 && (n.slowFrom == 0 || from < n.slowFrom) {
+			n.slowFrom = from
+		}
+	}
+	n.list(&known, brain.ListCached)
+	return n
+}
+
+func index(names []string) map[string]int {
+	out := make(map[string]int, len(names))
+	for i, name := range names {
+		out[name] = i
+	}
+	return out
+}
+
+// now is the node's clock: Unix time as of the start, moved on by the monotonic clock alone, so that
+// a step of the machine's clock moves no timer.
+func (n *Node) now() time.Duration { return n.at(time.Now()) }
+
+func (n *Node) at(t time.Time) time.Duration {
+	return time.Duration(n.base.UnixNano()) + t.Sub(n.base)
+}
+
+// post hands an event to the loop. Once the loop has ended, events are dropped.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.done:
+	}
+}
+
+// Arrive tells of a client's first line; until is when the client stops waiting.
+func (n *Node) Arrive(o *wire.Opening, until time.Time, p Port) {
+	n.post(event{kind: evArrive, id: brain.RequestID(o.ID), opening: o, until: until, port: p})
+}
+
+// Inherit tells of a connection that stood at its host before the run and is up there again.
+func (n *Node) Inherit(o *wire.Opening, p Port) {
+	n.post(event{kind: evInherit, id: brain.RequestID(o.ID), opening: o, port: p})
+}
+
+// Connected asks whether an attempt whose connection has come up may still be written.
+func (n *Node) Connected(id brain.RequestID, attempt int) {
+	n.post(event{kind: evConnected, id: id, attempt: attempt})
+}
+
+// Opened tells that a host has taken the connection.
+func (n *Node) Opened(id brain.RequestID, attempt int, took time.Duration) {
+	n.post(event{kind: evOpened, id: id, attempt: attempt, took: took})
+}
+
+// Settled tells how an attempt ended; its connection must be closed by then.
+func (n *Node) Settled(id brain.RequestID, attempt int, took time.Duration, outcome brain.Outcome) {
+	n.post(event{kind: evSettled, id: id, attempt: attempt, took: took, outcome: outcome})
+}
+
+// Load tells a connection's load.
+func (n *Node) Load(id brain.RequestID, load float64) {
+	n.post(event{kind: evLoad, id: id, load: load})
+}
+
+// Gone tells that nothing more is owed to a client.
+func (n *Node) Gone(id brain.RequestID) { n.post(event{kind: evGone, id: id}) }
+
+// Addr asks where a host is, "" where that is not known.
+func (n *Node) Addr(id brain.ServerID) string {
+	reply := make(chan string, 1)
+	n.post(event{kind: evAddr, id: brain.RequestID(id), reply: reply})
+	select {
+	case addr := <-reply:
+		return addr
+	case <-n.done:
+		return ""
+	}
+}
+
+// Listed hands over news of discovery.
+func (n *Node) Listed(c *wire.Catalog) { n.post(event{kind: evList, list: c}) }
+
+// WatchFailed tells that the call for the list failed, or the watch broke.
+func (n *Node) WatchFailed() { n.post(event{kind: evWatchFailed}) }
+
+// Probed tells the result of a probe; excess is -1 where the host reported none.
+func (n *Node) Probed(id brain.ServerID, outcome brain.Outcome, took time.Duration, excess float64) {
+	n.post(event{kind: evProbed, id: brain.RequestID(id), outcome: outcome, took: took, load: excess})
+}
+
+// MoveAll sends all clients away, spread evenly over the time there is.
+func (n *Node) MoveAll(by time.Time) { n.post(event{kind: evMoveAll, until: by}) }
+
+// Owed tells how many requests wait for their final answer; Open how many connections stand.
+func (n *Node) Owed() int64 { return n.owed.Load() }
+
+// Open tells how many connections stand.
+func (n *Node) Open() int64 { return n.open.Load() }
+
+// Run is the loop. It ends with the context.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	if !n.set.AskList {
+		n.watch()
+	}
+	for {
+		timer.Reset(n.timers.wait(n.now()))
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-n.events:
+			n.guard(func() { n.take(e) })
+		case <-timer.C:
+		case now := <-ticks.C:
+			n.guard(func() { n.pulse(now) })
+		}
+		now := n.now() // one reading: timers set meanwhile wait for the next turn
+		for token, due := n.timers.next(now); due; token, due = n.timers.next(now) {
+			n.guard(func() { n.decide(brain.Timer{Token: token}) })
+		}
+	}
+}
+
+// guard keeps a failure in the handling of one event from ending the node, which would cut off every
+// client; the request at fault is answered by its connection's own backstop.
+func (n *Node) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			n.queue = n.queue[:0]
+			n.log.Error("an event could not be handled", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+		}
+	}()
+	f()
+}
+
+// take handles one event.
+func (n *Node) take(e event) {
+	r := n.reqs[e.id]
+	switch e.kind {
+	case evArrive:
+		n.arrive(e, r)
+	case evInherit:
+		if r == nil {
+			a := n.arrival(e.opening, 0)
+			id := brain.ServerID(e.opening.At)
+			m := n.members[id]
+			if m == nil { // a host that the list has forgotten still has its clients
+				m = &member{id: id, state: brain.Gone}
+			}
+			n.reqs[e.id] = &request{port: e.port, on: m, attempts: 1, out: true, up: true, answered: true}
+			n.open.Add(1)
+			n.decide(brain.Inherited{Arrival: a, Server: id})
+		}
+	case evConnected:
+		if r != nil {
+			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && n.sendable(r.on))
+		}
+	case evOpened:
+		if r != nil && r.out && !r.up && e.attempt == r.attempts-1 {
+			r.up = true
+			n.open.Add(1)
+			n.answer(r)
+			n.decide(brain.Opened{ID: e.id, Attempt: e.attempt, Server: r.on.id, Took: e.took})
+		}
+	case evSettled:
+		if r != nil && r.out && e.attempt == r.attempts-1 {
+			n.settle(e, r)
+		}
+	case evLoad:
+		if r != nil && r.up {
+			n.decide(brain.LoadNote{ID: e.id, Load: e.load})
+		}
+	case evGone:
+		if r != nil && !r.up {
+			n.answer(r)
+			n.decide(brain.ClientGone{ID: e.id})
+			n.drop(e.id, r)
+		}
+	case evList:
+		kind := brain.ListChange
+		if e.list.Complete {
+			kind = brain.ListFull
+		}
+		n.list(e.list, kind)
+	case evWatchFailed:
+		if n.set.AskList {
+			n.decide(brain.ListEvent{Kind: brain.ListFailed, Version: n.revision})
+			return
+		}
+		n.watching, n.watchAt = false, time.Now().Add(rewatch(n.set.Index))
+	case evProbed:
+		n.decide(brain.Probed{Server: brain.ServerID(e.id), Outcome: e.outcome, Took: e.took, Excess: e.load})
+	case evAddr:
+		addr := ""
+		if m := n.members[brain.ServerID(e.id)]; m != nil {
+			addr = m.addr
+		}
+		e.reply <- addr // has room
+	case evMoveAll:
+		n.moveBy = e.until
+	}
+}
+
+func (n *Node) arrive(e event, r *request) {
+	if r != nil {
+		n.log.Info("a connection's id is held already", zap.String("request", e.opening.ID))
+		e.port.Fail()
+		return
+	}
+	a := n.arrival(e.opening, time.Until(e.until))
+	if a.Class < 0 {
+		n.log.Info("a client names a class that the settings lack", zap.String("class", e.opening.Class))
+		e.port.Fail()
+		return
+	}
+	n.reqs[e.id] = &request{port: e.port}
+	n.owed.Add(1)
+	n.decide(a)
+}
+
+// arrival puts a client's line in the module's terms; the class is -1 where the settings lack it.
+func (n *Node) arrival(o *wire.Opening, left time.Duration) brain.Arrival {
+	a := brain.Arrival{ID: brain.RequestID(o.ID), Class: -1, Tenant: -1, Key: o.Key, Left: left, Load: o.Load,
+		Retry: o.Retry, MidFlow: o.Mid, Again: o.Again}
+	if i, ok := n.classes[o.Class]; ok {
+		a.Class = i
+	}
+	if i, ok := n.tenants[o.Tenant]; ok {
+		a.Tenant = i
+	}
+	if n.set.Groups {
+		a.Group = o.Group
+	}
+	return a
+}
+
+func (n *Node) settle(e event, r *request) {
+	r.out = false
+	final := r.up || r.answered
+	if r.up {
+		n.open.Add(-1)
+	}
+	n.decide(brain.Settled{ID: e.id, Attempt: e.attempt, Server: r.on.id, Took: e.took, Outcome: e.outcome, Final: final})
+	n.drop(e.id, r)
+}
+
+// answer notes that a request has had its final answer.
+func (n *Node) answer(r *request) {
+	if !r.answered {
+		r.answered = true
+		n.owed.Add(-1)
+	}
+}
+
+// drop frees a request that has its answer and no attempt out.
+func (n *Node) drop(id brain.RequestID, r *request) {
+	if r.answered && !r.out && n.reqs[id] == r {
+		delete(n.reqs, id)
+	}
+}
+
+// decide hands an event to the module and carries out its actions, and those of what follows from them.
+func (n *Node) decide(ev brain.Event) {
+	n.queue = append(n.queue, ev)
+	for i := 0; i < len(n.queue); i++ {
+		for _, a := range n.brain.Handle(n.now(), n.queue[i]) {
+			n.act(a)
+		}
+	}
+	clear(n.queue)
+	n.queue = n.queue[:0]
+}
+
+func (n *Node) act(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		n.send(a)
+	case brain.Refuse:
+		if r := n.reqs[a.ID]; r != nil && !r.answered {
+			n.answer(r)
+			r.port.Refuse(a.RetryAfter)
+			n.drop(a.ID, r)
+		}
+	case brain.Fail:
+		if r := n.reqs[a.ID]; r != nil && !r.answered {
+			n.answer(r)
+			r.port.Fail()
+			n.drop(a.ID, r)
+		}
+	case brain.Cancel:
+		if r := n.reqs[a.ID]; r != nil && r.out && !r.up {
+			r.port.Cancel(a.Attempt)
+		}
+	case brain.Move:
+		if r := n.reqs[a.ID]; r != nil {
+			n.move(r)
+		}
+	case brain.Probe:
+		if m := n.members[a.Server]; m != nil && m.addr != "" {
+			n.outside.Probe(a.Server, m.addr)
+		} else {
+			n.queue = append(n.queue, brain.Probed{Server: a.Server, Outcome: brain.NeverPassed, Excess: -1})
+		}
+	case brain.Wake:
+		n.timers.add(a.At, a.Token)
+	case brain.Watch:
+		n.watch()
+	case brain.Log:
+		n.log.Info(a.Text)
+	}
+}
+
+// send starts an attempt. One that can't be made is settled at once, as the module waits for exactly
+// one outcome of each.
+func (n *Node) send(a brain.Send) {
+	r := n.reqs[a.ID]
+	if r == nil || r.answered {
+		n.queue = append(n.queue, brain.Settled{ID: a.ID, Attempt: attemptOf(r), Server: a.Server,
+			Outcome: brain.NeverPassed, Final: true})
+		return
+	}
+	m := n.members[a.Server]
+	at := r.attempts
+	r.attempts++
+	if m == nil || m.addr == "" {
+		n.queue = append(n.queue, brain.Settled{ID: a.ID, Attempt: at, Server: a.Server, Outcome: brain.NeverPassed})
+		return
+	}
+	r.on, r.out = m, true
+	r.port.Send(Attempt{N: at, Addr: m.addr, Timeout: a.Timeout})
+}
+
+// move sends a client away whose connection stands; once is enough.
+func (n *Node) move(r *request) {
+	if r.up && r.out && !r.leaving {
+		r.leaving = true
+		r.port.Move()
+	}
+}
+
+func attemptOf(r *request) int {
+	if r == nil {
+		return 0
+	}
+	return r.attempts
+}
+
+func (n *Node) watch() {
+	n.watching = true
+	n.outside.Watch(n.revision)
+}
--- /dev/null
+++ b/internal/node/timers.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timers holds the module's wakes, the earliest first.
+type timers struct{ heap timerHeap }
+
+type timer struct {
+	at    time.Duration
+	order uint64 // timers of one time fall due in the order they were set
+	token string
+}
+
+type timerHeap struct {
+	all  []timer
+	last uint64
+}
+
+func (h *timerHeap) Len() int { return len(h.all) }
+func (h *timerHeap) Less(i, j int) bool {
+	if h.all[i].at != h.all[j].at {
+		return h.all[i].at < h.all[j].at
+	}
+	return h.all[i].order < h.all[j].order
+}
+func (h *timerHeap) Swap(i, j int) { h.all[i], h.all[j] = h.all[j], h.all[i] }
+func (h *timerHeap) Push(x any)    { h.all = append(h.all, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := h.all[len(h.all)-1]
+	h.all = h.all[:len(h.all)-1]
+	return last
+}
+
+func (t *timers) add(at time.Duration, token string) {
+	t.heap.last++
+	heap.Push(&t.heap, timer{at, t.heap.last, token})
+}
+
+// wait tells how long until the next one falls due.
+func (t *timers) wait(now time.Duration) time.Duration {
+	if t.heap.Len() == 0 {
+		return time.Hour
+	}
+	return max(t.heap.all[0].at-now, 0)
+}
+
+// next takes a timer that has fallen due.
+func (t *timers) next(now time.Duration) (token string, due bool) {
+	if t.heap.Len() == 0 || t.heap.all[0].at > now {
+		return "", false
+	}
+	return heap.Pop(&t.heap).(timer).token, true
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package simwire
+// Package settings reads the settings object that the operators hand to every node, on the simulator's
+// wire and on sockets alike, into the terms of the decision module.
+package settings
 
 import (
 	"encoding/json"
@@ -6,6 +8,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"onyxstream/brain"
@@ -26,6 +29,7 @@
 	OverShareWorth float64 `json:"overShareWorth"`
 	RegistryMode   string  `json:"registryMode"`
 	Lanes          []struct {
+		Name      string  `json:"name"`
 		Aim       ms      `json:"aim"`
 		Deadline  ms      `json:"deadline"`
 		Semantics string  `json:"semantics"`
@@ -33,8 +37,12 @@
 		Window    ms      `json:"window"`
 		Worth     float64 `json:"worth"`
 	} `json:"lanes"`
-	Customers []struct{} `json:"customers"`
-	Domain    struct {
+	Customers []struct {
+		Name string `json:"name"`
+	} `json:"customers"`
+	Zones  []string `json:"zones"`
+	Domain struct {
+		Groups     bool      `json:"groups"`
 		MessageAim []ms      `json:"messageAim"`
 		Mode       string    `json:"mode"`
 		TenantOpen []float64 `json:"tenantQuotaConnections"`
@@ -44,14 +52,16 @@
 		Fields []string `json:"fields"`
 	} `json:"report"`
 	Limits struct {
-		Cancel        bool `json:"cancel"`
-		MaxAttempts   int  `json:"maxAttempts"`
-		MaxRetryAfter ms   `json:"maxRetryAfter"`
-		MayTell       bool `json:"mayTell"`
-		Probes        bool `json:"probes"`
-		RetryAfter    bool `json:"retryAfter"`
+		Cancel         bool `json:"cancel"`
+		ConnectTimeout ms   `json:"connectTimeout"`
+		MaxAttempts    int  `json:"maxAttempts"`
+		MaxRetryAfter  ms   `json:"maxRetryAfter"`
+		MayTell        bool `json:"mayTell"`
+		Probes         bool `json:"probes"`
+		RetryAfter     bool `json:"retryAfter"`
 	} `json:"limits"`
 	Rules struct {
+		AnswerSlack       ms      `json:"answerSlack"`
 		AskWithin         ms      `json:"askWithin"`
 		ColdShare         float64 `json:"coldShare"`
 		FallMultiple      float64 `json:"fallMultiple"`
@@ -65,17 +75,47 @@
 
 var scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}
 
-// settings translates the facts of a start into the module's settings.
-func settings(seed uint64, raw []byte) (brain.Settings, error) {
+// Settings is what the object says: the module's part, and what the node itself needs to speak for it.
+type Settings struct {
+	brain.Settings
+	// The names of classes, tenants and zones, in the order of the module's indices.
+	ClassNames, TenantNames, ZoneNames []string
+	Groups                             bool          // connections of a group share work on a server
+	ConnectTimeout                     time.Duration // a connection that is not up by then counts as none; 0 for no limit
+	AnswerSlack                        time.Duration // how long after the deadline a final answer is still in time
+}
+
+// FieldError says which field is wrong and why. Field is "" where the whole object is.
+type FieldError struct {
+	Field string
+	Err   error
+}
+
+func (e *FieldError) Error() string {
+	if e.Field == "" {
+		return e.Err.Error()
+	}
+	return "field " + strconv.Quote(e.Field) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the reason.
+func (e *FieldError) Unwrap() error { return e.Err }
+
+func at(field string, err error) error { return &FieldError{field, err} }
+
+// Parse reads the settings object. Keys that it does not know are passed over; an error is a *FieldError.
+func Parse(seed uint64, raw []byte) (Settings, error) {
 	var f facts
 	if err := json.Unmarshal(raw, &f); err != nil {
 		var kind *json.UnmarshalTypeError
 		if errors.As(err, &kind) {
-			return brain.Settings{}, at("facts."+kind.Field, fmt.Errorf("a %s does not fit", kind.Value))
+			return Settings{}, at(kind.Field, fmt.Errorf("a %s does not fit", kind.Value))
 		}
-		return brain.Settings{}, at("facts", err)
+		return Settings{}, at("", err)
 	}
-	s := brain.Settings{
+	s := Settings{ZoneNames: f.Zones, Groups: f.Domain.Groups, ConnectTimeout: f.Limits.ConnectTimeout.duration(),
+		AnswerSlack: f.Rules.AnswerSlack.duration()}
+	s.Settings = brain.Settings{
 		Seed: seed, Index: f.Index, GroupSize: f.GroupSize, Zone: f.Zone,
 		OverShareWorth: f.OverShareWorth,
 		Pass:           f.Domain.Mode == "pass", AskList: f.RegistryMode == "ask",
@@ -95,24 +135,26 @@
 	}{
 		{"groupSize", float64(f.GroupSize), 0}, {"index", float64(f.Index), 0},
 		{"limits.maxAttempts", float64(f.Limits.MaxAttempts), 0},
+		{"limits.connectTimeout", float64(f.Limits.ConnectTimeout), 0},
 		{"limits.maxRetryAfter", float64(f.Limits.MaxRetryAfter), 0},
+		{"rules.answerSlack", float64(f.Rules.AnswerSlack), 0},
 		{"rules.askWithin", float64(f.Rules.AskWithin), 0}, {"rules.coldShare", f.Rules.ColdShare, 0},
 		{"rules.fallMultiple", f.Rules.FallMultiple, 0}, {"rules.overloadFor", float64(f.Rules.OverloadFor), 0},
 		{"rules.stopSendingWithin", float64(f.Rules.StopSendingWithin), 0},
 		{"rules.warmWithin", float64(f.Rules.WarmWithin), 0},
 	} {
 		if bound.v < bound.least || bound.v > 1e12 {
-			return s, at("facts."+bound.name, fmt.Errorf("%g is out of range", bound.v))
+			return s, at(bound.name, fmt.Errorf("%g is out of range", bound.v))
 		}
 	}
 	if f.Rules.ColdShare > 1 {
-		return s, at("facts.rules.coldShare", fmt.Errorf("%g is over 1", f.Rules.ColdShare))
+		return s, at("rules.coldShare", fmt.Errorf("%g is over 1", f.Rules.ColdShare))
 	}
 	if len(f.Lanes) == 0 {
-		return s, at("facts.lanes", errors.New("no class is set"))
+		return s, at("lanes", errors.New("no class is set"))
 	}
 	for i, l := range f.Lanes {
-		name := fmt.Sprintf("facts.lanes[%d].", i)
+		name := fmt.Sprintf("lanes[%d].", i)
 		effect, ok := effects[l.Semantics]
 		if !ok {
 			return s, at(name+"semantics", fmt.Errorf("unknown word %q", l.Semantics))
@@ -130,13 +172,15 @@
 			c.MessageAim = f.Domain.MessageAim[i].duration()
 		}
 		s.Classes = append(s.Classes, c)
+		s.ClassNames = append(s.ClassNames, l.Name)
 	}
-	for i := range f.Customers {
+	for i, c := range f.Customers {
 		var t brain.Tenant
 		if i < len(f.Domain.TenantOpen) {
 			t.Connections = f.Domain.TenantOpen[i]
 		}
 		s.Tenants = append(s.Tenants, t)
+		s.TenantNames = append(s.TenantNames, c.Name)
 	}
 	return s, nil
 }
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-faster/jx"
 
 	"onyxstream/brain"
+	"onyxstream/internal/settings"
 )
 
 // lists is how many numbered lists the wire has.
@@ -200,11 +202,15 @@
 	e := &h.ev
 	switch name {
 	case "start":
-		s, err := settings(e.seed, e.facts)
+		s, err := settings.Parse(e.seed, e.facts)
+		var wrong *settings.FieldError
+		if errors.As(err, &wrong) {
+			return at(strings.TrimSuffix("facts."+wrong.Field, "."), wrong.Err)
+		}
 		if err != nil {
 			return err
 		}
-		h.instances[inst] = brain.New(s)
+		h.instances[inst] = brain.New(s.Settings)
 		return nil
 	case "shutdown":
 		delete(h.instances, inst)
--- /dev/null
+++ b/internal/wire/catalog.go
@@ -0,0 +1,72 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Phase is what discovery says of a host.
+type Phase uint8
+
+// The phases.
+const (
+	Serving Phase = iota
+	Draining
+	Deleted
+)
+
+var phases = map[string]Phase{"SERVING": Serving, "DRAINING": Draining, "DELETED": Deleted}
+
+// UnmarshalText reads a phase.
+func (p *Phase) UnmarshalText(text []byte) error {
+	known, ok := phases[string(text)]
+	if !ok {
+		return fmt.Errorf("unknown phase %q", text)
+	}
+	*p = known
+	return nil
+}
+
+// Member is one entry of the list.
+type Member struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"host_port"`
+	Zone    string  `json:"locality"`
+	Cell    int     `json:"cell"`
+	Phase   Phase   `json:"phase"`
+	Size    float64 `json:"size"`
+	UpSince int64   `json:"up_since_ms"` // Unix time, 0 for long ago
+}
+
+// Catalog is the list of hosts, or the part of it that changed.
+type Catalog struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// ParseCatalog reads one object of discovery.
+func ParseCatalog(text []byte) (Catalog, error) {
+	var c Catalog
+	if err := json.Unmarshal(text, &c); err != nil {
+		return Catalog{}, fmt.Errorf("the list can't be read: %w", err)
+	}
+	return c, c.Check()
+}
+
+// Check reports what is wrong with a list that was read from elsewhere.
+func (c *Catalog) Check() error {
+	for i, m := range c.Members {
+		switch {
+		case m.ID == "":
+			return fmt.Errorf("members[%d]: %w", i, errors.New("no id"))
+		case !(m.Size >= 0 && m.Size < 1e9):
+			return fmt.Errorf("members[%d]: size %g is out of range", i, m.Size)
+		case m.UpSince < 0 || m.UpSince > math.MaxInt64/2_000_000:
+			return fmt.Errorf("members[%d]: up_since_ms %d is out of range", i, m.UpSince)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/http.go
@@ -0,0 +1,175 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// The most that one answer of discovery may have of a thing before it counts as endless.
+const (
+	mostHead = 16 << 10
+	mostLine = 8 << 20 // a list of some 50,000 hosts
+)
+
+// StatusError is an answer other than 200.
+type StatusError struct{ Code int }
+
+func (e *StatusError) Error() string { return "discovery answered " + strconv.Itoa(e.Code) }
+
+// WatchRequest writes the call for the changes after a version.
+func WatchRequest(host string, after int64) []byte {
+	return fmt.Appendf(nil, "GET /catalog/members?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", after, host)
+}
+
+type httpState uint8
+
+const (
+	inStatus httpState = iota
+	inHead
+	inSize    // a chunk's size
+	inChunk   // a chunk's bytes
+	inEnd     // the line end after a chunk
+	inTrailer // what follows the last chunk
+	inBody    // a body of a stated length, or one that lasts until the connection ends
+	ended
+)
+
+// Stream is the machine of one HTTP/1.1 answer: fed bytes, it gives the lines of the body.
+type Stream struct {
+	state   httpState
+	text    []byte // of a line of the head, or of a chunk's size
+	head    int    // bytes of the head so far
+	left    int64  // bytes of the chunk or body still to come, -1 for until the end
+	chunked bool
+	body    []byte // unread
+}
+
+// Feed takes the next bytes. After an error the answer is worth nothing more.
+func (s *Stream) Feed(b []byte) error {
+	for len(b) > 0 && s.state != ended {
+		if s.state == inChunk || s.state == inBody {
+			n := len(b)
+			if s.left >= 0 {
+				n = int(min(int64(n), s.left))
+				s.left -= int64(n)
+			}
+			if len(s.body)+n > mostLine {
+				return errors.New("discovery's answer has no end")
+			}
+			s.body = append(s.body, b[:n]...)
+			if b = b[n:]; s.left == 0 {
+				s.state = map[httpState]httpState{inChunk: inEnd, inBody: ended}[s.state]
+			}
+			continue
+		}
+		n := bytes.IndexByte(b, '\n') + 1
+		if n == 0 {
+			n = len(b)
+		}
+		if s.text = append(s.text, b[:n]...); len(s.text) > mostHead {
+			return errors.New("discovery's answer has a line with no end")
+		}
+		if b = b[n:]; s.text[len(s.text)-1] != '\n' {
+			return nil
+		}
+		line := strings.TrimRight(string(s.text), "\r\n")
+		s.text = s.text[:0]
+		if err := s.line(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line takes one line of the framing.
+func (s *Stream) line(line string) error {
+	switch s.state {
+	case inStatus:
+		words := strings.SplitN(line, " ", 3)
+		if len(words) < 2 || !strings.HasPrefix(words[0], "HTTP/1.") {
+			return errors.New("discovery's answer is no HTTP")
+		}
+		code, err := strconv.Atoi(words[1])
+		if err != nil {
+			return errors.New("discovery's answer has no status")
+		}
+		if code != 200 {
+			return &StatusError{code}
+		}
+		s.state, s.left = inHead, -1
+	case inHead:
+		if s.head += len(line); s.head > mostHead {
+			return errors.New("discovery's answer has a head with no end")
+		}
+		if line == "" {
+			if s.state = inBody; s.chunked {
+				s.state = inSize
+			} else if s.left == 0 {
+				s.state = ended
+			}
+			return nil
+		}
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "transfer-encoding":
+			if !strings.EqualFold(value, "chunked") {
+				return fmt.Errorf("discovery's answer has an unknown encoding %q", value)
+			}
+			s.chunked = true
+		case "content-length":
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil || n < 0 {
+				return fmt.Errorf("discovery's answer has no length: %q", value)
+			}
+			s.left = n
+		}
+	case inSize:
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseInt(strings.TrimSpace(size), 16, 64)
+		if err != nil || n < 0 {
+			return fmt.Errorf("discovery's answer has a chunk with no size: %q", line)
+		}
+		if s.left = n; n > 0 {
+			s.state = inChunk
+		} else {
+			s.state, s.head = inTrailer, 0
+		}
+	case inEnd:
+		if line != "" {
+			return errors.New("discovery's answer has a chunk of another size than it said")
+		}
+		s.state = inSize
+	case inTrailer:
+		if s.head += len(line); s.head > mostHead {
+			return errors.New("discovery's answer has a trailer with no end")
+		}
+		if line == "" {
+			s.state = ended
+		}
+	}
+	return nil
+}
+
+// Next takes the next whole line of the body, or what is left of it once the answer has ended. An
+// empty line is one too: it is discovery's beat.
+func (s *Stream) Next() (line []byte, ok bool) {
+	i := bytes.IndexByte(s.body, '\n')
+	if i < 0 {
+		if s.state != ended || len(s.body) == 0 {
+			return nil, false
+		}
+		i = len(s.body) - 1
+	}
+	line = bytes.TrimRight(s.body[:i+1], "\r\n")
+	if s.body = s.body[i+1:]; len(s.body) == 0 {
+		s.body = nil // a long list is not kept for the length of the watch
+	}
+	return line, true
+}
+
+// Ended reports whether the answer is complete.
+func (s *Stream) Ended() bool { return s.state == ended }
