A server that breaks most of what it holds is shunned and limited to half of it

One host broke all its connections within a second, clients came back, were put there again and broken again, five times over eight seconds.

Ruled out by traces: the node's relaying (answers come back within 0.4 ms, 99th percentile 0.3 ms), lost outcomes (each break is told as Reset), a wrong placement (32 connections, a quarter of what the host's size carries). At fault: settled() in brain/brain.go passed over a Reset that had stood.

Changed: dropped() in brain/fleet.go.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -414,7 +414,8 @@
 	switch {
 	case e.Outcome == Served:
 		b.well(s)
-	case e.Outcome == Reset && stood: // its crowd shows in late messages, its death in failed connects
+	case e.Outcome == Reset && stood: // its death shows in failed connects
+		b.dropped(s)
 	case e.Outcome == NoConnect:
 		b.strike(s, 4*aim)
 	case e.Outcome == NoAnswer:
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -188,6 +188,20 @@
 	}
 }
 
+// dropped notes that a server broke an open connection. One that breaks most of what it holds at once has let
+// go of a pile that grew faster than late messages could tell, by time's own pace at the least: it is good for
+// half of what it bore. Without that, all who come back are put there again, and dropped again.
+func (b *Brain) dropped(s *server) {
+	if b.now > s.lostAt+sweepEvery {
+		s.lost, s.borne = 0, b.bears(s)
+	}
+	s.lost, s.lostAt = s.lost+1, b.now
+	if s.lost >= max(skipFloor, s.conns) {
+		s.peak, s.limit, s.limitAt = s.borne, s.borne*headroom/2, b.now
+		b.strike(s, 4*b.patience)
+	}
+}
+
 // cut lowers the load that a server may have and sends what is over it to where there is room.
 func (b *Brain) cut(s *server, keep float64) {
 	s.peak = max(b.bears(s), s.peak*headroom)
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -174,3 +174,38 @@
 		t.Error("the group is not put where it stands already")
 	}
 }
+
+// A server slowed down for a while broke all that it held before a late message could tell, and who came
+// back was put there again and broken again. One broken connection of many says nothing.
+func TestServerThatBreaksMostOfWhatItHoldsIsLimited(t *testing.T) {
+	b, s := crowded(t, testSettings(), 20)
+	broken := func(at time.Duration, from, to int) {
+		for i := from; i < to; i += 2 {
+			b.Handle(at, Settled{ID: RequestID(fmt.Sprint("open", i)), Server: "a", Outcome: Reset, Final: true})
+		}
+	}
+	broken(time.Second, 0, 2)
+	if s.limit != 0 || b.shunned(s) {
+		t.Fatal("one broken connection of twenty limits its server")
+	}
+	broken(3*time.Second, 2, 40)
+	if want := 1900 * headroom / 2; s.limit != want || !b.shunned(s) {
+		t.Errorf("limit %.0f, shunned %v; want %.0f, true", s.limit, b.shunned(s), want)
+	}
+	for i := range 20 {
+		a := Arrival{ID: RequestID(fmt.Sprint("back", i)), Key: fmt.Sprint(2 * i), Left: time.Second, Again: true}
+		for _, send := range sends(b.Handle(3*time.Second+100*ms, a)) {
+			if send.Server == "a" {
+				t.Errorf("%s is put on the server that has just broken all it held", a.ID)
+			}
+		}
+	}
+	if b.now = 3*time.Second + b.recover; b.shunned(s) || b.full(s, &request{}, 100) {
+		t.Error("the limit does not grow back")
+	}
+	// Of two connections that a server had here both broken is no chance; of one it may well be.
+	b, s = crowded(t, testSettings(), 1)
+	if broken(time.Second, 0, 1); s.limit != 0 {
+		t.Error("the only connection broken limits the server")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -82,6 +82,9 @@
 
 	limit, peak        float64       // load it was last cut to, and had most: the limit grows by that
 	limitAt            time.Duration // when it was cut
+	lost               int           // connections that it broke at once, the last of them at lostAt
+	lostAt             time.Duration
+	borne              float64       // what it bore before
 	message, messageAt time.Duration // how long messages took, and when that was told
 	excess             float64       // load over capacity by its last report
 	toldAt, askedAt    time.Duration // when that came, 0 for never, and was last asked for
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -239,13 +239,16 @@
 			took := time.Since(start)
 			if failed != nil {
 				in.Free()
-				c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID), zap.Error(failed))
+				c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID),
+					zap.String("host", cmd.send.Addr), zap.Duration("took", took), zap.Error(failed))
 				c.d.node.Settled(c.id, out, took, failed.Outcome())
 				out = -1
 				continue
 			}
 			final = true
 			if c.raise(host) {
+				c.d.log.Debug("a connection is up", zap.String("request", c.open.ID),
+					zap.String("host", cmd.send.Addr), zap.Duration("took", took))
 				c.d.node.Opened(c.id, out, took)
 				c.relay(host, &in, upLine, out, start)
 			} else {
@@ -443,6 +446,9 @@
 	} else {
 		_ = host.Close()
 	}
+	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
+		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
+		zap.Error(err))
 	c.d.node.Settled(c.id, attempt, time.Since(start), outcome)
 	switch {
 	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
