--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -189,8 +189,8 @@
 }
 
 // dropped notes that a server broke an open connection. One that breaks most of what it holds at once has let
-// go of a pile that grew faster than late messages could tell, by time's own pace at the least: it is good for
-// half of what it bore. Without that, all who come back are put there again, and dropped again.
+// go of a pile that grew before late messages could tell, at time's own pace or faster: it is good for half
+// of what it bore. Without that, all who come back are put there again, and dropped again.
 func (b *Brain) dropped(s *server) {
 	if b.now > s.lostAt+sweepEvery {
 		s.lost, s.borne = 0, b.bears(s)
--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -96,7 +96,7 @@
 		return fail(Asking, err)
 	}
 	// Setting the deadline wakes whatever read or write is under way.
-	stop := context.AfterFunc(ctx, func() { _ = host.SetDeadline(past) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	line := o.Forward(time.Until(by))
 	if n, err := host.Write(line); n < len(line) {
 		return fail(Writing, err)
--- /dev/null
+++ b/internal/driver/attempt_test.go
@@ -0,0 +1,187 @@
+package driver
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/node"
+	"onyxstream/internal/wire"
+)
+
+// host is a listener that hands each connection to a function.
+func host(t *testing.T, serve func(*net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// answering is a host that reads the first line and says something.
+func answering(t *testing.T, text string) string {
+	return host(t, func(c *net.TCPConn) {
+		if _, err := bufio.NewReader(c).ReadString('\n'); err == nil {
+			_, _ = io.WriteString(c, text)
+			_, _ = io.Copy(io.Discard, c)
+		}
+	})
+}
+
+// refusing is an address where nothing listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const hello = "OPEN id key c=chat,d=9000,new=1"
+
+func opening(t *testing.T, line string) *wire.Opening {
+	t.Helper()
+	_, o, err := wire.ParseHello([]byte(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &o
+}
+
+func may() error { return nil }
+
+func TestAttemptOutcomesByStage(t *testing.T) {
+	long := strings.Repeat("x", wire.BufferSize)
+	for _, c := range []struct {
+		name, addr string
+		stage      Stage
+		want       brain.Outcome
+	}{
+		{"refused", refusing(t), Dialing, brain.NoConnect},
+		{"turned away", answering(t, "BUSY\r\n"), Answering, brain.Full},
+		{"an error", answering(t, "ERR\r\n"), Answering, brain.Errored},
+		{"sent away", answering(t, "MOVE\r\n"), Answering, brain.Cancelled},
+		{"ended before it was up", answering(t, "BYE\r\n"), Answering, brain.Errored},
+		{"no receipt", answering(t, "UP\r\n"), Answering, brain.Errored},
+		{"garbage", answering(t, "HTTP/1.1 400 Bad Request\r\n"), Answering, brain.Errored},
+		{"a line with no end", answering(t, long), Answering, brain.Errored},
+		{"half an answer", answering(t, "UP r-1"), Awaiting, brain.NoAnswer},
+		{"nothing", answering(t, ""), Awaiting, brain.NoAnswer},
+		{"ended without an answer", host(t, func(c *net.TCPConn) {
+			_, _ = bufio.NewReader(c).ReadString('\n')
+		}), Awaiting, brain.Reset},
+		{"broken without an answer", host(t, func(c *net.TCPConn) {
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			_ = c.SetLinger(0)
+		}), Awaiting, brain.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var in wire.Inbox
+			defer in.Free()
+			conn, _, failed := attempt(context.Background(), node.Attempt{Addr: c.addr, Timeout: 200 * time.Millisecond},
+				opening(t, hello), time.Second, may, &in)
+			if failed == nil {
+				_ = conn.Close()
+				t.Fatal("no error")
+			}
+			if failed.Stage != c.stage || failed.Outcome() != c.want {
+				t.Errorf("%v: outcome %v, want %v while %v", failed, failed.Outcome(), c.want, c.stage)
+			}
+		})
+	}
+}
+
+func TestAttemptComesUpWithWhatFollows(t *testing.T) {
+	lines := make(chan string, 1)
+	addr := host(t, func(c *net.TCPConn) {
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		lines <- line
+		_, _ = io.WriteString(c, "UP r-1 more\r\nM 1\r\nM")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	var in wire.Inbox
+	defer in.Free()
+	conn, up, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: 5 * time.Second}, opening(t, hello), time.Second, may, &in)
+	if failed != nil {
+		t.Fatal(failed)
+	}
+	defer conn.Close()
+	if string(up) != "UP r-1 more\r\n" {
+		t.Errorf("up line %q", up)
+	}
+	line := <-lines
+	if !strings.HasPrefix(line, "OPEN id key c=chat,d=4") && !strings.HasPrefix(line, "OPEN id key c=chat,d=5000,") ||
+		!strings.HasSuffix(line, ",new=1\r\n") {
+		t.Errorf("the host was sent %q", line)
+	}
+	if rest := string(in.Rest()); !strings.HasPrefix("M 1\r\nM", rest) {
+		t.Errorf("behind it %q", rest)
+	}
+}
+
+// The loop's word between connect and write: without it not a byte may reach the host.
+func TestAttemptThatMayNotGoWritesNothing(t *testing.T) {
+	got := make(chan int, 1)
+	addr := host(t, func(c *net.TCPConn) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	})
+	var in wire.Inbox
+	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: time.Second}, opening(t, hello), time.Second,
+		func() error { return errTooLate }, &in)
+	if failed == nil || failed.Stage != Asking || failed.Outcome() != brain.NeverPassed || !errors.Is(failed, errTooLate) {
+		t.Errorf("ended with %v", failed)
+	}
+	if n := <-got; n != 0 {
+		t.Error("the host got something")
+	}
+}
+
+func TestWithdrawnAttemptEndsAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	closed := make(chan struct{})
+	addr := host(t, func(c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		cancel()
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	var in wire.Inbox
+	defer in.Free()
+	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), time.Second, may, &in)
+	if failed == nil || failed.Outcome() != brain.Cancelled {
+		t.Errorf("ended with %v", failed)
+	}
+	<-closed // the host saw the end
+}
+
+func TestAttemptWithoutTimeNeverRan(t *testing.T) {
+	addr := answering(t, "UP r\r\n")
+	var in wire.Inbox
+	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: -time.Second}, opening(t, hello), time.Second, may, &in)
+	if failed == nil || !failed.Outcome().ProvesUnrun() {
+		t.Errorf("ended with %v", failed)
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -32,7 +32,7 @@
 // process itself, discovery and probes need is kept free, and so is room to refuse clients politely.
 const (
 	perClient = 2
-	ownNeed   = 24 // standard streams, poller, listener, watch, probes
+	ownNeed   = 40 // standard streams, poller, listener, watch, probes and pings
 	refusals  = 16 // clients that are being refused at one time
 )
 
@@ -53,12 +53,13 @@
 	conns   map[*conn]struct{}
 	used    int // clients within the budget
 	refused int // clients being refused
+	pingers map[brain.ServerID]*pinger
 	wg      sync.WaitGroup
 }
 
 // New makes a driver. Attach must follow before Serve.
 func New(cfg Config, log *zap.Logger) *Driver {
-	return &Driver{cfg: cfg, log: log, conns: map[*conn]struct{}{}}
+	return &Driver{cfg: cfg, log: log, conns: map[*conn]struct{}{}, pingers: map[brain.ServerID]*pinger{}}
 }
 
 // Attach names the node that decides.
@@ -123,6 +124,10 @@
 	for c := range d.conns {
 		c.abort()
 	}
+	for id, p := range d.pingers {
+		delete(d.pingers, id)
+		close(p.asks)
+	}
 	d.mu.Unlock()
 	d.wg.Wait()
 }
--- /dev/null
+++ b/internal/driver/ping.go
@@ -0,0 +1,125 @@
+package driver
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+const (
+	pingWait = 3 * time.Second  // a ping without an answer for so long is given up, with its connection
+	pingIdle = 10 * time.Second // a host that is not asked about for so long is left
+	mostPing = 16               // hosts that are pinged at one time, within the descriptors of ownNeed
+)
+
+// pinger times messages at one host, on a connection that it keeps: a new one would cost the host work.
+type pinger struct {
+	addr string
+	asks chan struct{}
+}
+
+// Ping times a message at a host. It does not block: while one is under way there, or too many hosts are
+// asked about, nothing is sent.
+func (d *Driver) Ping(id brain.ServerID, addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pingers[id]
+	if p != nil && p.addr != addr {
+		close(p.asks)
+		p = nil
+	}
+	if p == nil {
+		if len(d.pingers) >= mostPing {
+			return
+		}
+		p = &pinger{addr: addr, asks: make(chan struct{}, 1)}
+		d.pingers[id] = p
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			defer d.caught("a ping failed badly")
+			d.ping(id, p)
+		}()
+	}
+	select {
+	case p.asks <- struct{}{}:
+	default:
+	}
+}
+
+// ping is the life of a pinger.
+func (d *Driver) ping(id brain.ServerID, p *pinger) {
+	var c net.Conn
+	var in wire.Inbox
+	leave := func() {
+		if c != nil {
+			_ = c.Close()
+			c = nil
+		}
+		in.Free()
+	}
+	defer leave()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.pingers[id] == p {
+			delete(d.pingers, id)
+		}
+	}()
+	idle := time.NewTimer(pingIdle)
+	defer idle.Stop()
+	for {
+		idle.Reset(pingIdle)
+		select {
+		case <-idle.C:
+			return
+		case _, on := <-p.asks:
+			if !on {
+				return
+			}
+		}
+		start := time.Now()
+		err := error(nil)
+		if c == nil {
+			dialer := net.Dialer{Timeout: pingWait, KeepAlive: -1}
+			if c, err = dialer.Dial("tcp", p.addr); err != nil {
+				c = nil
+			}
+		}
+		if err == nil {
+			err = pingOnce(c, &in, start.Add(pingWait))
+		}
+		took := time.Since(start)
+		if err != nil {
+			d.log.Debug("a host does not answer a ping", zap.String("host", string(id)), zap.Error(err))
+			if leave(); !timedOut(err) {
+				took = -1
+			}
+		}
+		d.log.Debug("a ping", zap.String("host", p.addr), zap.Duration("took", took))
+		d.node.Pinged(id, took)
+	}
+}
+
+// pingOnce sends a ping and waits for its answer, whatever that is: NO comes from a host too.
+func pingOnce(c net.Conn, in *wire.Inbox, by time.Time) error {
+	_ = c.SetDeadline(by)
+	if _, err := io.WriteString(c, "PING\r\n"); err != nil {
+		return err
+	}
+	for {
+		_, ok, err := in.Next()
+		if ok || err != nil {
+			return err
+		}
+		n, err := c.Read(in.Space())
+		if in.Fed(n); n == 0 && err != nil {
+			return err
+		}
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -18,9 +18,10 @@
 	toldAt time.Time // when it was told to drain or be gone
 
 	// How messages fare there, see pulse.
-	took []time.Duration
-	some brain.RequestID // one of the connections that stand there
-	slow bool            // the last note was over the bound
+	took   []time.Duration
+	some   brain.RequestID // one of the connections that stand there, "" for none
+	pinged time.Time       // when the ping went out that has no answer yet
+	slow   bool            // the last note was over the bound
 }
 
 const (
@@ -100,6 +101,11 @@
 	}
 	n.moveSome(now)
 	measure := n.tick%noteEvery == 0
+	if measure {
+		for _, m := range n.members {
+			m.some = ""
+		}
+	}
 	for id, r := range n.reqs {
 		if !r.up || !r.out || r.leaving {
 			continue
@@ -126,36 +132,45 @@
 			m.took = append(m.took, p.Waiting)
 		}
 	}
-	if measure {
-		n.notes()
+	if measure && n.slowFrom > 0 {
+		n.measure(now)
 	}
 }
 
-// notes tells the module what a message takes at each host where that is slow, and once more when it is
-// well again. The middle one of the second's messages counts: one that met a hiccup of this machine is
-// no news of the host.
-func (n *Node) notes() {
-	from := n.slowFrom
+// measure finds out, once a second, what a message takes at each host where clients stand. Where the settings
+// promise that and allow probes, a ping tells: a host answers lines on open connections at once, however much
+// is piled up. Elsewhere the middle one of the second's messages counts: one that met a hiccup of this
+// machine is no news of the host.
+func (n *Node) measure(now time.Time) {
 	ids := make([]brain.ServerID, 0, len(n.members))
-	for id, m := range n.members {
-		if len(m.took) > 0 && from > 0 {
-			ids = append(ids, id)
-			continue
-		}
-		m.took, m.some = m.took[:0], ""
+	for id := range n.members {
+		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
 		m := n.members[id]
-		slices.Sort(m.took)
-		middle := m.took[(len(m.took)-1)/2]
-		some := m.some
-		was := m.slow
-		m.slow = middle > from
-		m.took, m.some = m.took[:0], ""
-		if m.slow || was {
-			n.decide(brain.SlowNote{ID: some, Message: middle})
+		switch {
+		case m.some == "":
+		case n.set.TellsDelay && n.set.MayProbe:
+			if m.pinged.IsZero() {
+				m.pinged = now
+				n.outside.Ping(id, m.addr)
+			} else {
+				n.note(m, now.Sub(m.pinged))
+			}
+		case len(m.took) > 0:
+			slices.Sort(m.took)
+			n.note(m, m.took[(len(m.took)-1)/2])
 		}
+		m.took = m.took[:0]
+	}
+}
+
+// note tells the module what a message takes at a host where that is slow, and once more when it is well.
+func (n *Node) note(m *member, took time.Duration) {
+	was := m.slow
+	if m.slow = took > n.slowFrom; (m.slow || was) && m.some != "" {
+		n.decide(brain.SlowNote{ID: m.some, Message: took})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,9 @@
 
 // Outside is what the loop needs of the sockets beside its ports. None of it may block.
 type Outside interface {
-	Watch(after int64) // ask discovery for the changes after a version
-	Probe(id brain.ServerID, addr string)
+	Watch(after int64)                    // ask discovery for the changes after a version
+	Probe(id brain.ServerID, addr string) // examine a host, for the module
+	Ping(id brain.ServerID, addr string)  // time a message at a host
 }
 
 // Node is the memory of one node.
@@ -101,6 +102,7 @@
 	evList
 	evWatchFailed
 	evProbed
+	evPinged
 	evMoveAll
 	evAddr
 )
@@ -215,6 +217,12 @@
 	n.post(event{kind: evProbed, id: brain.RequestID(id), outcome: outcome, took: took, load: excess})
 }
 
+// Pinged tells what a message took at a host, or that no answer came in that time; below 0 where the host could
+// not be asked, which says nothing of its messages.
+func (n *Node) Pinged(id brain.ServerID, took time.Duration) {
+	n.post(event{kind: evPinged, id: brain.RequestID(id), took: took})
+}
+
 // MoveAll sends all clients away, spread evenly over the time there is.
 func (n *Node) MoveAll(by time.Time) { n.post(event{kind: evMoveAll, until: by}) }
 
@@ -321,6 +329,12 @@
 		n.watching, n.watchAt = false, time.Now().Add(rewatch(n.set.Index))
 	case evProbed:
 		n.decide(brain.Probed{Server: brain.ServerID(e.id), Outcome: e.outcome, Took: e.took, Excess: e.load})
+	case evPinged:
+		if m := n.members[brain.ServerID(e.id)]; m != nil {
+			if m.pinged = (time.Time{}); e.took >= 0 {
+				n.note(m, e.took)
+			}
+		}
 	case evAddr:
 		addr := ""
 		if m := n.members[brain.ServerID(e.id)]; m != nil {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,487 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"onyxstream/brain"
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// port records what a connection is told.
+type port struct {
+	mu    sync.Mutex
+	said  []string
+	sent  []Attempt
+	pulse Pulse
+}
+
+func (p *port) say(text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.said = append(p.said, text)
+}
+
+func (p *port) Send(a Attempt) {
+	p.mu.Lock()
+	p.sent = append(p.sent, a)
+	p.mu.Unlock()
+	p.say(fmt.Sprintf("send %d %s", a.N, a.Addr))
+}
+func (p *port) Go(n int, ok bool)         { p.say(fmt.Sprintf("go %d %v", n, ok)) }
+func (p *port) Cancel(n int)              { p.say(fmt.Sprintf("cancel %d", n)) }
+func (p *port) Refuse(d time.Duration)    { p.say(fmt.Sprintf("refuse %v", d > 0)) }
+func (p *port) Fail()                     { p.say("fail") }
+func (p *port) Move()                     { p.say("move") }
+func (p *port) Pulse(now time.Time) Pulse { return p.pulse }
+
+func (p *port) heard() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.said, ", ")
+}
+
+// world records what the loop asks of the sockets beside its connections.
+type world struct {
+	watches []int64
+	probes  []brain.ServerID
+	pings   []brain.ServerID
+}
+
+func (w *world) Watch(after int64)                 { w.watches = append(w.watches, after) }
+func (w *world) Probe(id brain.ServerID, _ string) { w.probes = append(w.probes, id) }
+
+func (w *world) Ping(id brain.ServerID, _ string) { w.pings = append(w.pings, id) }
+
+func testSettings() settings.Settings {
+	return settings.Settings{
+		Settings: brain.Settings{GroupSize: 1, AskList: true, MaxAttempts: 4, MayCancel: true, MaxRetryAfter: time.Second,
+			DrainGrace: 400 * time.Millisecond, WarmWithin: time.Second, ColdShare: 0.5, FallMultiple: 4,
+			FallWindow: time.Second, AskWithin: 10 * time.Second,
+			Classes: []brain.Class{{SetupAim: 300 * time.Millisecond, Deadline: 2 * time.Second,
+				MessageAim: 60 * time.Millisecond, Worth: 1}}},
+		ClassNames: []string{"chat"}, TenantNames: []string{"acme"}, ZoneNames: []string{"a", "b"}, Groups: true,
+	}
+}
+
+func entry(id string, phase wire.Phase) wire.Member {
+	return wire.Member{ID: id, Addr: id + ":1", Zone: "a", Size: 1, Phase: phase}
+}
+
+// held is a node that is not running: the test takes its events by hand.
+func held(t *testing.T, members ...wire.Member) (*Node, *world, *observer.ObservedLogs) {
+	t.Helper()
+	core, logs := observer.New(zap.InfoLevel)
+	w := &world{}
+	return New(testSettings(), wire.Catalog{Revision: 7, Complete: true, Members: members}, w, zap.New(core)), w, logs
+}
+
+func opening(t *testing.T, line string) *wire.Opening {
+	t.Helper()
+	_, o, err := wire.ParseHello([]byte(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &o
+}
+
+// arrive hands the node a client's line.
+func arrive(t *testing.T, n *Node, id string) *port {
+	t.Helper()
+	p := &port{}
+	n.take(event{kind: evArrive, id: brain.RequestID(id), opening: opening(t, "OPEN "+id+" key c=chat,t=acme,d=2000"),
+		until: time.Now().Add(2 * time.Second), port: p})
+	return p
+}
+
+func settled(id string, n int, o brain.Outcome) event {
+	return event{kind: evSettled, id: brain.RequestID(id), attempt: n, outcome: o, took: time.Millisecond}
+}
+
+func opened(id string, n int) event {
+	return event{kind: evOpened, id: brain.RequestID(id), attempt: n, took: time.Millisecond}
+}
+
+func TestServeAndEnd(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	p := arrive(t, n, "r")
+	if p.heard() != "send 0 s1:1" || n.Owed() != 1 {
+		t.Fatalf("%s; %d owed", p.heard(), n.Owed())
+	}
+	n.take(event{kind: evConnected, id: "r"})
+	n.take(opened("r", 0))
+	if p.heard() != "send 0 s1:1, go 0 true" || n.Owed() != 0 || n.Open() != 1 {
+		t.Fatalf("%s; %d owed, %d open", p.heard(), n.Owed(), n.Open())
+	}
+	n.take(event{kind: evLoad, id: "r", load: 5})
+	n.take(settled("r", 0, brain.Served))
+	if n.Open() != 0 || len(n.reqs) != 0 {
+		t.Errorf("%d open, %d requests kept", n.Open(), len(n.reqs))
+	}
+}
+
+func TestFailoverThenRefusedAtOnce(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	p := arrive(t, n, "r")
+	n.take(settled("r", 0, brain.NoConnect))
+	if len(p.sent) != 2 || p.sent[0].Addr == p.sent[1].Addr {
+		t.Fatalf("sent to %v", p.sent)
+	}
+	n.take(settled("r", 1, brain.Full))
+	if !strings.HasSuffix(p.heard(), "refuse true") || n.Owed() != 0 || len(n.reqs) != 0 {
+		t.Errorf("%s; %d owed, %d kept", p.heard(), n.Owed(), len(n.reqs))
+	}
+}
+
+// Whatever comes twice, late or for another attempt changes nothing.
+func TestLateAndDoubledEventsDoNothing(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	p := arrive(t, n, "r")
+	n.take(settled("r", 0, brain.Errored))
+	said := p.heard()
+	n.take(settled("r", 0, brain.Errored))
+	n.take(opened("r", 0))
+	n.take(settled("r", 7, brain.Full))
+	n.take(settled("other", 0, brain.Full))
+	n.take(event{kind: evLoad, id: "r", load: 1})
+	if p.heard() != said {
+		t.Errorf("then also %s", p.heard())
+	}
+	n.take(event{kind: evConnected, id: "r", attempt: 0})
+	if !strings.HasSuffix(p.heard(), "go 0 false") {
+		t.Errorf("an attempt that is over may go: %s", p.heard())
+	}
+	again := arrive(t, n, "r")
+	if again.heard() != "fail" || n.Owed() != 1 {
+		t.Errorf("an id that is held: %s; %d owed", again.heard(), n.Owed())
+	}
+}
+
+func TestClientGoneFreesEverything(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	p := arrive(t, n, "r")
+	n.take(event{kind: evGone, id: "r"})
+	if !strings.HasSuffix(p.heard(), "cancel 0") || n.Owed() != 0 || len(n.reqs) != 1 {
+		t.Fatalf("%s; %d owed, %d kept", p.heard(), n.Owed(), len(n.reqs))
+	}
+	n.take(settled("r", 0, brain.Cancelled))
+	if len(n.reqs) != 0 || strings.Contains(p.heard(), "refuse") {
+		t.Errorf("%s; %d kept", p.heard(), len(n.reqs))
+	}
+}
+
+// A send counts at its first byte: a dial that comes up after the grace must not be written to.
+func TestNothingIsWrittenAfterTheDrainsGrace(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	p := arrive(t, n, "r")
+	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("s1", wire.Draining)}}, brain.ListChange)
+	n.take(event{kind: evConnected, id: "r"})
+	if !strings.HasSuffix(p.heard(), "go 0 true") {
+		t.Fatalf("within the grace: %s", p.heard())
+	}
+	n.members["s1"].toldAt = time.Now().Add(-n.set.DrainGrace)
+	n.take(event{kind: evConnected, id: "r"})
+	if !strings.HasSuffix(p.heard(), "go 0 false") {
+		t.Fatalf("after the grace: %s", p.heard())
+	}
+	// Being told again, or that it is gone, does not start another grace.
+	n.list(&wire.Catalog{Revision: 9, Members: []wire.Member{entry("s1", wire.Deleted)}}, brain.ListChange)
+	if n.sendable(n.members["s1"]) {
+		t.Error("a second notice gives a second grace")
+	}
+	n.list(&wire.Catalog{Revision: 10, Members: []wire.Member{entry("s1", wire.Serving)}}, brain.ListChange)
+	if !n.sendable(n.members["s1"]) {
+		t.Error("a host called back gets nothing")
+	}
+}
+
+func TestCompleteListDropsWhatItLacks(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.list(&wire.Catalog{Revision: 8, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}, brain.ListFull)
+	if n.members["s1"].state != brain.Gone || n.members["s2"].state != brain.Live || n.revision != 8 {
+		t.Errorf("s1 %v, s2 %v, revision %d", n.members["s1"].state, n.members["s2"].state, n.revision)
+	}
+	n.members["s1"].toldAt = time.Now().Add(-2 * forgetAfter)
+	n.list(&wire.Catalog{Revision: 9}, brain.ListChange)
+	if n.members["s1"] != nil {
+		t.Error("a host gone for long is kept")
+	}
+}
+
+// A member without an address can't be sent to: the module must hear that nothing was passed on.
+func TestMemberWithoutAnAddressIsNeverPassed(t *testing.T) {
+	m := entry("s1", wire.Serving)
+	m.Addr = ""
+	n, _, _ := held(t, m)
+	if p := arrive(t, n, "r"); p.heard() != "refuse true" || n.Owed() != 0 {
+		t.Errorf("%s; %d owed", p.heard(), n.Owed())
+	}
+	if p := arrive(t, n, "q"); p.heard() != "refuse true" || len(n.reqs) != 0 {
+		t.Errorf("%s; %d kept", p.heard(), len(n.reqs))
+	}
+}
+
+func TestUnknownClassIsAnsweredAtOnce(t *testing.T) {
+	n, _, logs := held(t, entry("s1", wire.Serving))
+	p := &port{}
+	n.take(event{kind: evArrive, id: "r", opening: opening(t, "OPEN r key c=odd"), until: time.Now().Add(time.Second), port: p})
+	if p.heard() != "fail" || len(n.reqs) != 0 || logs.FilterMessageSnippet("class").Len() != 1 {
+		t.Errorf("%s; %d kept", p.heard(), len(n.reqs))
+	}
+}
+
+func TestMidFlowAndGroupReachTheModule(t *testing.T) {
+	n, _, _ := held(t)
+	a := n.arrival(opening(t, "OPEN r key c=chat,t=acme,g=grp,mid=1,again=1,r=1"), time.Second)
+	want := brain.Arrival{ID: "r", Key: "key", Group: "grp", Left: time.Second, MidFlow: true, Again: true, Retry: true}
+	if a != want {
+		t.Errorf("%+v, want %+v", a, want)
+	}
+	n.set.Groups = false
+	if a := n.arrival(opening(t, "OPEN r key c=chat,g=client"), 0); a.Group != "" || a.Tenant != -1 {
+		t.Errorf("without groups: %+v", a)
+	}
+}
+
+func TestInheritedConnectionsAreCountedAndEnd(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	for i, host := range []string{"s1", "unlisted"} {
+		id := brain.RequestID(fmt.Sprint("r", i))
+		n.take(event{kind: evInherit, id: id, opening: opening(t, "OPEN "+string(id)+" key c=chat,at="+host), port: &port{}})
+		if n.Open() != 1 || n.Owed() != 0 {
+			t.Errorf("at %s: %d open, %d owed", host, n.Open(), n.Owed())
+		}
+		n.take(settled(string(id), 0, brain.Served))
+		if n.Open() != 0 || len(n.reqs) != 0 {
+			t.Errorf("at %s: %d open, %d kept after the end", host, n.Open(), len(n.reqs))
+		}
+	}
+}
+
+// up is a connection that stands.
+func up(t *testing.T, n *Node, id string) *port {
+	t.Helper()
+	p := arrive(t, n, id)
+	n.take(opened(id, 0))
+	return p
+}
+
+// A host that is cut off says nothing and breaks nothing; its clients must be sent away before the
+// seven seconds are over.
+func TestSilentHostsClientsAreMovedOnce(t *testing.T) {
+	n, _, logs := held(t, entry("s1", wire.Serving))
+	p, q := up(t, n, "r"), up(t, n, "q")
+	p.pulse = Pulse{Waiting: silence + time.Millisecond}
+	q.pulse = Pulse{Waiting: silence - time.Millisecond}
+	n.pulse(time.Now())
+	n.pulse(time.Now())
+	if strings.Count(p.heard(), "move") != 1 || strings.Contains(q.heard(), "move") || logs.FilterMessageSnippet("says nothing").Len() != 1 {
+		t.Errorf("silent: %s; well: %s", p.heard(), q.heard())
+	}
+}
+
+// The module is told as the simulator tells it: of the middle message of a second while that is over a
+// third of the shortest aim, and once more when it is under. One slow message among many is no news.
+func TestSlowNotesFollowTheMiddleMessage(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	ports := []*port{up(t, n, "r0"), up(t, n, "r1"), up(t, n, "r2")}
+	m := n.members["s1"]
+	second := func(took ...time.Duration) {
+		for i, p := range ports {
+			if took[i] > 0 {
+				p.pulse.Answered++
+				p.pulse.Took = took[i]
+			}
+		}
+		for range noteEvery {
+			n.pulse(time.Now())
+		}
+	}
+	for i, c := range []struct {
+		took []time.Duration
+		slow bool
+	}{
+		{[]time.Duration{1e6, 1e6, 90e6}, false},
+		{[]time.Duration{1e6, 30e6, 90e6}, true},
+		{[]time.Duration{0, 0, 0}, true}, // nothing was said, so nothing is new
+		{[]time.Duration{1e6, 2e6, 90e6}, false},
+	} {
+		if second(c.took...); m.slow != c.slow || len(m.took) != 0 {
+			t.Errorf("second %d: slow %v, want %v; %d figures kept", i, m.slow, c.slow, len(m.took))
+		}
+	}
+	ports[0].pulse.Waiting, ports[1].pulse.Waiting = 40*time.Millisecond, 50*time.Millisecond
+	if second(0, 0, 1e6); !m.slow {
+		t.Error("messages that wait for their answer are no news")
+	}
+}
+
+// A host answers lines at once however much is piled up there; where probes are allowed a ping tells, and one
+// without an answer tells by how long it waits.
+func TestPingsTellWhatAMessageTakes(t *testing.T) {
+	n, w, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	p := up(t, n, "r")
+	on := n.reqs["r"].on
+	p.pulse = Pulse{Answered: 1, Took: time.Millisecond}
+	now := time.Now()
+	second := func() {
+		for range noteEvery {
+			now = now.Add(tickEvery)
+			n.pulse(now)
+		}
+	}
+	if second(); len(w.pings) != 1 || w.pings[0] != on.id {
+		t.Fatalf("pings %v, want one to the host where a client stands", w.pings)
+	}
+	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: 30 * time.Millisecond})
+	if !on.slow {
+		t.Error("a slow ping is no news")
+	}
+	second()
+	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: time.Millisecond})
+	if on.slow || len(w.pings) != 2 {
+		t.Errorf("well again: slow %v, %d pings", on.slow, len(w.pings))
+	}
+	second()
+	second()
+	if !on.slow || len(w.pings) != 3 {
+		t.Errorf("no answer for a second: slow %v, %d pings", on.slow, len(w.pings))
+	}
+}
+
+func TestMoveAllSpreadsOverTheTime(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	var ports []*port
+	for i := range 20 {
+		ports = append(ports, up(t, n, fmt.Sprint("r", i)))
+	}
+	moved := func() (k int) {
+		for _, p := range ports {
+			k += strings.Count(p.heard(), "move")
+		}
+		return k
+	}
+	now := time.Now()
+	n.take(event{kind: evMoveAll, until: now.Add(4 * tickEvery)})
+	for i := range 4 {
+		n.pulse(now.Add(time.Duration(i) * tickEvery))
+		if i == 0 && (moved() == 0 || moved() > 6) {
+			t.Errorf("%d of 20 moved at the first of four turns", moved())
+		}
+	}
+	if moved() != 20 {
+		t.Errorf("%d of 20 moved, each once", moved())
+	}
+}
+
+func TestListEventsAndWatches(t *testing.T) {
+	set := testSettings()
+	set.AskWithin = time.Millisecond // the module asks within a twentieth of it
+	w := &world{}
+	n := New(set, wire.Catalog{Revision: 7}, w, zap.NewNop())
+	time.Sleep(time.Millisecond)
+	n.decide(brain.Timer{Token: "sweep"})
+	if len(w.watches) != 1 || w.watches[0] != 7 {
+		t.Fatalf("watches %v, want one from version 7", w.watches)
+	}
+	n.take(event{kind: evList, list: &wire.Catalog{Revision: 9, Members: []wire.Member{entry("s2", wire.Serving)}}})
+	if n.revision != 9 || n.members["s2"] == nil {
+		t.Errorf("revision %d", n.revision)
+	}
+}
+
+// Sites that need not be asked have no module that asks: the node watches by itself, and again.
+func TestPushSitesAreWatchedAgain(t *testing.T) {
+	n, w, _ := held(t)
+	n.set.AskList = false
+	n.watch()
+	n.take(event{kind: evWatchFailed})
+	n.pulse(time.Now())
+	if len(w.watches) != 1 {
+		t.Fatal("watched again at once")
+	}
+	n.pulse(time.Now().Add(time.Second))
+	n.pulse(time.Now().Add(2 * time.Second))
+	if len(w.watches) != 2 {
+		t.Errorf("%d watches, want 2", len(w.watches))
+	}
+}
+
+// A failure in the handling of one event must not end the node.
+func TestAPanicStopsAtItsEvent(t *testing.T) {
+	n, _, logs := held(t, entry("s1", wire.Serving))
+	n.guard(func() { n.take(event{kind: evList}) }) // a list event without a list
+	if logs.FilterMessage("an event could not be handled").Len() != 1 {
+		t.Error("no trace of the failure in the log")
+	}
+	if p := arrive(t, n, "r"); p.heard() != "send 0 s1:1" {
+		t.Errorf("after it: %s", p.heard())
+	}
+}
+
+func TestTimersFallDueInOrder(t *testing.T) {
+	var ts timers
+	for i, at := range []time.Duration{5, 3, 5, 1} {
+		ts.add(at, fmt.Sprint(i))
+	}
+	if ts.wait(0) != 1 {
+		t.Errorf("waits %v", ts.wait(0))
+	}
+	var got []string
+	for token, due := ts.next(5); due; token, due = ts.next(5) {
+		got = append(got, token)
+	}
+	if !slices.Equal(got, []string{"3", "1", "0", "2"}) || ts.wait(0) != time.Hour {
+		t.Errorf("order %v", got)
+	}
+}
+
+// The loop under the race detector: many connections post and are told at once, and all of it ends.
+func TestRunWithManyConnections(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.Run(ctx)
+	}()
+	var all sync.WaitGroup
+	for i := range 50 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			id := brain.RequestID(fmt.Sprint(i))
+			o := opening(t, fmt.Sprintf("OPEN %d key%d c=chat,d=2000", i, i))
+			n.Arrive(o, time.Now().Add(2*time.Second), &port{})
+			n.Connected(id, 0)
+			n.Opened(id, 0, time.Millisecond)
+			n.Load(id, float64(i))
+			n.Listed(&wire.Catalog{Revision: int64(i), Members: []wire.Member{entry(fmt.Sprint("n", i%5), wire.Serving)}})
+			if n.Addr("s1") != "s1:1" {
+				t.Error("no address")
+			}
+			n.Settled(id, 0, time.Millisecond, brain.Served)
+		}()
+	}
+	all.Wait()
+	n.Addr("s1") // what was posted before has been taken once this is answered
+	if n.Owed() != 0 || n.Open() != 0 {
+		t.Errorf("%d owed, %d open", n.Owed(), n.Open())
+	}
+	cancel()
+	<-ended
+	n.Gone("1") // must not block
+	if n.Addr("s1") != "" {
+		t.Error("an ended loop answers")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,7 @@
 	Zones  []string `json:"zones"`
 	Domain struct {
 		Groups     bool      `json:"groups"`
+		TellsDelay bool      `json:"tellsDelay"`
 		MessageAim []ms      `json:"messageAim"`
 		Mode       string    `json:"mode"`
 		TenantOpen []float64 `json:"tenantQuotaConnections"`
@@ -81,6 +82,7 @@
 	// The names of classes, tenants and zones, in the order of the module's indices.
 	ClassNames, TenantNames, ZoneNames []string
 	Groups                             bool          // connections of a group share work on a server
+	TellsDelay                         bool          // nodes are to know what a message takes at a server
 	ConnectTimeout                     time.Duration // a connection that is not up by then counts as none; 0 for no limit
 	AnswerSlack                        time.Duration // how long after the deadline a final answer is still in time
 }
@@ -113,7 +115,7 @@
 		}
 		return Settings{}, at("", err)
 	}
-	s := Settings{ZoneNames: f.Zones, Groups: f.Domain.Groups, ConnectTimeout: f.Limits.ConnectTimeout.duration(),
+	s := Settings{ZoneNames: f.Zones, Groups: f.Domain.Groups, TellsDelay: f.Domain.TellsDelay, ConnectTimeout: f.Limits.ConnectTimeout.duration(),
 		AnswerSlack: f.Rules.AnswerSlack.duration()}
 	s.Settings = brain.Settings{
 		Seed: seed, Index: f.Index, GroupSize: f.GroupSize, Zone: f.Zone,
