Ping well hosts every other second; a break under a new limit counts alone

Seen on fleet-2: after a host had broken all and was limited, single connections went on being put there and broken, one at a time, as a break of one alone did not count (dropped() in brain/fleet.go asked for two).

--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -97,8 +97,8 @@
 			continue
 		}
 		b.weight += s.weight
-		switch limited := s.limit > 0 && b.now < s.limitAt+b.recover/4; {
-		case limited || b.reported(s) && s.excess > room*headroom:
+		switch {
+		case b.limited(s) || b.reported(s) && s.excess > room*headroom:
 			crowded += s.weight
 			known += s.weight
 		case s.conns > 0 || b.reported(s):
@@ -130,6 +130,9 @@
 		b.reported(s) && s.excess > room*keep || b.set.Reports && r.asks >= mostAsks && !b.reported(s)
 }
 
+// limited reports whether a server's limit is new.
+func (b *Brain) limited(s *server) bool { return s.limit > 0 && b.now < s.limitAt+b.recover/4 }
+
 // reported reports whether a server's own report of its load is fresh.
 func (b *Brain) reported(s *server) bool { return s.toldAt > 0 && b.now < s.toldAt+b.patience }
 
@@ -196,8 +199,8 @@
 		s.lost, s.borne = 0, b.bears(s)
 	}
 	s.lost, s.lostAt = s.lost+1, b.now
-	if s.lost >= max(skipFloor, s.conns) {
-		s.peak, s.limit, s.limitAt = s.borne, s.borne*headroom/2, b.now
+	if s.lost >= s.conns && (s.lost >= skipFloor || b.limited(s)) {
+		s.peak, s.limit, s.limitAt = max(s.borne, s.peak*headroom), s.borne*headroom/2, b.now
 		b.strike(s, 4*b.patience)
 	}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -22,6 +22,7 @@
 	some   brain.RequestID // one of the connections that stand there, "" for none
 	pinged time.Time       // when the ping went out that has no answer yet
 	slow   bool            // the last note was over the bound
+	rest   bool            // no ping this second: one every other will do while it is well
 }
 
 const (
@@ -149,20 +150,24 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		m := n.members[id]
+		all := m.took
+		m.took = m.took[:0]
 		switch {
 		case m.some == "":
 		case n.set.TellsDelay && n.set.MayProbe:
+			if m.rest = !m.rest && !m.slow; m.rest {
+				continue
+			}
 			if m.pinged.IsZero() {
 				m.pinged = now
 				n.outside.Ping(id, m.addr)
 			} else {
 				n.note(m, now.Sub(m.pinged))
 			}
-		case len(m.took) > 0:
-			slices.Sort(m.took)
-			n.note(m, m.took[(len(m.took)-1)/2])
+		case len(all) > 0:
+			slices.Sort(all)
+			n.note(m, all[(len(all)-1)/2])
 		}
-		m.took = m.took[:0]
 	}
 }
 
