--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,26 +192,31 @@
 
 // drive waits for the loop's word, makes the attempts and, once up, copies to the client.
 func (c *conn) drive(until time.Time) {
-	final, out := false, -1 // has the client had its answer; which attempt owes an outcome
+	final := false     // the client has had its answer, or has left
+	taken, out := 0, 0 // sends taken from the loop, and how many of them owe an outcome
 	defer func() {
-		if p := recover(); p != nil {
-			c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.String("request", c.open.ID))
+		p := recover()
+		if p != nil {
+			c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.String("request", c.open.ID),
+				zap.ByteString("stack", debug.Stack()))
 			c.mu.Lock()
 			if c.host != nil {
 				_ = c.host.Close()
 			}
 			c.mu.Unlock()
-			if out >= 0 {
-				c.d.node.Settled(c.id, out, 0, brain.Reset)
-			}
+		}
+		if !final || p != nil {
+			c.d.node.Gone(c.id, taken)
+		}
+		if out > 0 {
+			c.d.node.Settled(c.id, taken-1, 0, brain.Reset)
 		}
 		if !final {
-			c.d.node.Gone(c.id)
 			c.finish(wire.Fail)
 		}
 	}()
 	if c.open.At != "" {
-		final = c.resume(&out)
+		final = c.resume(&taken, &out)
 		return
 	}
 	backstop := time.NewTimer(time.Until(until) + c.d.cfg.AnswerSlack)
@@ -220,7 +226,7 @@
 		select {
 		case <-c.gone:
 			final = true
-			c.d.node.Gone(c.id)
+			c.d.node.Gone(c.id, taken)
 			return
 		case <-backstop.C:
 			// The module answers in time; this is for what it never heard of, or what failed on the way.
@@ -232,37 +238,46 @@
 				c.finish(cmd.reply)
 				return
 			}
-			out = cmd.send.N
-			start := time.Now()
-			var in wire.Inbox
-			host, upLine, failed := c.try(*cmd.send, &in)
-			took := time.Since(start)
-			if failed != nil {
-				in.Free()
-				c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID),
-					zap.String("host", cmd.send.Addr), zap.Duration("took", took), zap.Error(failed))
-				c.d.node.Settled(c.id, out, took, failed.Outcome())
-				out = -1
-				continue
-			}
-			final = true
-			if c.raise(host) {
-				c.d.log.Debug("a connection is up", zap.String("request", c.open.ID),
-					zap.String("host", cmd.send.Addr), zap.Duration("took", took))
-				c.d.node.Opened(c.id, out, took)
-				c.relay(host, &in, upLine, out, start)
-			} else {
-				_ = host.Close()
-				in.Free()
-				c.d.node.Settled(c.id, out, took, brain.Cancelled)
-				c.d.node.Gone(c.id)
+			taken, out = cmd.send.N+1, 1
+			final = c.send(*cmd.send)
+			if out = 0; final {
+				return
 			}
-			out = -1
-			return
 		}
 	}
 }
 
+// send makes one attempt and, where it comes up, is the rest of the connection's life. It reports whether the
+// client has had its answer or has left.
+func (c *conn) send(a node.Attempt) (final bool) {
+	start := time.Now()
+	var in wire.Inbox
+	host, upLine, failed := c.try(a, &in)
+	took := time.Since(start)
+	if failed == nil && !c.raise(host) {
+		_ = host.Close()
+		failed = &AttemptError{Answering, errWithdrawn}
+	}
+	if failed == nil {
+		c.d.log.Debug("a connection is up", zap.String("request", c.open.ID), zap.String("host", a.Addr),
+			zap.Duration("took", took))
+		c.d.node.Opened(c.id, a.N, took)
+		c.relay(host, &in, upLine, a.N, start)
+		return true
+	}
+	in.Free()
+	c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID), zap.String("host", a.Addr),
+		zap.Duration("took", took), zap.Error(failed))
+	select {
+	case <-c.gone: // first, so that the module tries no other host for a client that has left
+		final = true
+		c.d.node.Gone(c.id, a.N+1)
+	default:
+	}
+	c.d.node.Settled(c.id, a.N, took, failed.Outcome())
+	return final
+}
+
 // try makes one attempt that the loop, or the client by leaving, can withdraw.
 func (c *conn) try(a node.Attempt, in *wire.Inbox) (*net.TCPConn, []byte, *AttemptError) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -327,7 +342,7 @@
 // resume takes up a connection that stood at its host before the run: its line goes there and nowhere
 // else. The host may not be ready yet, so what never reached it is tried again. It reports whether the
 // client has had its answer.
-func (c *conn) resume(out *int) bool {
+func (c *conn) resume(taken, out *int) bool {
 	by := time.Now().Add(resumeFor)
 	for time.Now().Before(by) {
 		addr := c.d.node.Addr(brain.ServerID(c.open.At))
@@ -350,10 +365,10 @@
 				_ = host.Close()
 				return true
 			}
-			*out = 0
+			*taken, *out = 1, 1
 			c.d.node.Inherit(&c.open, c)
 			c.relay(host, &in, upLine, 0, start)
-			*out = -1
+			*out = 0
 			return true
 		}
 		in.Free()
--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,223 @@
+package driver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"onyxstream/brain"
+	"onyxstream/internal/node"
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// rig is a driver and a node in this process.
+type rig struct {
+	d    *Driver
+	n    *node.Node
+	addr string
+	end  func()
+}
+
+// newRig starts a driver; the node's loop runs only where loop is set.
+func newRig(t *testing.T, log *zap.Logger, loop bool, hosts ...string) *rig {
+	t.Helper()
+	d, y := New(Config{Sockets: 256, ConnectTimeout: time.Second, AnswerSlack: 10 * time.Millisecond, Patience: time.Second}, log),
+		NewDiscovery(refusing(t), log)
+	set := settings.Settings{Settings: brain.Settings{GroupSize: 1, MaxAttempts: 3, MayCancel: true, AskList: true,
+		AskWithin: time.Hour, DrainGrace: time.Second, Classes: []brain.Class{{SetupAim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1}}},
+		ClassNames: []string{"chat"}}
+	known := wire.Catalog{Complete: true}
+	for i, addr := range hosts {
+		known.Members = append(known.Members, wire.Member{ID: fmt.Sprint("h", i), Addr: addr, Size: 1})
+	}
+	n := node.New(set, known, struct {
+		*Discovery
+		*Driver
+	}{y, d}, log)
+	d.Attach(n)
+	y.Attach(n)
+	l, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	run := func(f func()) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f()
+		}()
+	}
+	run(func() { _ = d.Serve(l) })
+	run(func() { _ = y.Run(ctx) })
+	if loop {
+		run(func() { _ = n.Run(ctx) })
+	}
+	var once sync.Once
+	r := &rig{d: d, n: n, addr: l.Addr().String()}
+	r.end = func() {
+		once.Do(func() {
+			_ = l.Close()
+			d.Abort()
+			cancel()
+			all.Wait()
+		})
+	}
+	t.Cleanup(r.end)
+	return r
+}
+
+// ask opens a connection, sends a line and returns the reader behind it.
+func (r *rig) ask(t *testing.T, line string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, line+"\r\n")
+	return c, bufio.NewReader(c)
+}
+
+// A request that the loop never answers must not wait for ever: the connection's own backstop answers.
+func TestBackstopAnswersWhereTheLoopDoesNot(t *testing.T) {
+	r := newRig(t, zap.NewNop(), false)
+	_, in := r.ask(t, "OPEN a key c=chat,d=50")
+	if all, err := io.ReadAll(in); string(all) != wire.Fail || err != nil {
+		t.Errorf("answered %q, error %v", all, err)
+	}
+}
+
+// panicking is a log that fails when it is told of one thing.
+type panicking struct {
+	zapcore.Core
+	at string
+}
+
+func (p panicking) Enabled(zapcore.Level) bool { return true }
+func (p panicking) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Message == p.at {
+		panic("a fault planted by the test")
+	}
+	return c
+}
+
+// A panic ends its own connection with an answer, frees what the loop holds of it, and stops there.
+func TestAPanicStopsAtItsConnection(t *testing.T) {
+	log := zap.New(panicking{zapcore.NewNopCore(), "an attempt failed"})
+	r := newRig(t, log, true, answering(t, "ERR\r\n"))
+	for i := range 3 {
+		_, in := r.ask(t, fmt.Sprintf("OPEN a%d key c=chat,d=5000", i))
+		if all, err := io.ReadAll(in); string(all) != wire.Fail || err != nil {
+			t.Errorf("answered %q, error %v", all, err)
+		}
+	}
+	r.n.Addr("") // what was posted before has been taken once this is answered
+	if r.n.Owed() != 0 {
+		t.Errorf("%d requests still owed", r.n.Owed())
+	}
+}
+
+// A client that leaves while its attempt is out withdraws it, and no other host is tried for it.
+func TestLeavingClientWithdrawsItsAttempt(t *testing.T) {
+	var mu sync.Mutex
+	lines, ended := 0, 0
+	silent := func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		if _, err := in.ReadString('\n'); err != nil {
+			return
+		}
+		mu.Lock()
+		lines++
+		mu.Unlock()
+		_, _ = io.Copy(io.Discard, in)
+		mu.Lock()
+		ended++
+		mu.Unlock()
+	}
+	r := newRig(t, zap.NewNop(), true, host(t, silent), host(t, silent))
+	c, _ := r.ask(t, "OPEN a key c=chat,d=5000")
+	wait := func(what string, f func() bool) {
+		t.Helper()
+		for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+			mu.Lock()
+			ok := f()
+			mu.Unlock()
+			if ok {
+				return
+			}
+		}
+		t.Fatalf("never: %s", what)
+	}
+	wait("the line reaches a host", func() bool { return lines == 1 })
+	_ = c.Close()
+	wait("the attempt is withdrawn", func() bool { return ended == 1 })
+	wait("nothing is owed", func() bool { return r.n.Owed() == 0 })
+	if r.end(); lines != 1 {
+		t.Errorf("%d hosts were tried", lines)
+	}
+}
+
+// Whatever clients and hosts do, their goroutines end with them.
+func TestNoGoroutineIsLeft(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	var hosts sync.WaitGroup
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts.Add(1)
+	go func() {
+		defer hosts.Done()
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			hosts.Add(1)
+			go func() {
+				defer hosts.Done()
+				defer c.Close()
+				in := bufio.NewReader(c)
+				if line, err := in.ReadString('\n'); err != nil || strings.HasPrefix(line, "PING") {
+					return
+				}
+				_, _ = io.WriteString(c, []string{"UP r\r\n", "ERR\r\n", "", "UP r\r\nM\r\nBYE\r\n"}[i%4])
+				if i%4 != 3 {
+					_, _ = io.Copy(io.Discard, in)
+				}
+			}()
+		}
+	}()
+	r := newRig(t, zap.NewNop(), true, l.Addr().String())
+	for i := range 24 {
+		c, in := r.ask(t, fmt.Sprintf("OPEN a%d key%d c=chat,d=300", i, i))
+		if i%3 > 0 {
+			_, _ = in.ReadString('\n')
+		}
+		if i%3 == 2 {
+			_ = c.Close()
+		}
+	}
+	r.d.Ping("h0", l.Addr().String())
+	r.d.Probe("h0", l.Addr().String())
+	r.end()
+	_ = l.Close()
+	hosts.Wait()
+	if err := goleak.Find(before); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,13 @@
 
 // Settled tells how an attempt ended; its connection must be closed by then.
 func (n *Node) Settled(id brain.RequestID, attempt int, took time.Duration, outcome brain.Outcome) {
-	n.post(event{kind: evSettled, id: id, attempt: attempt, took: took, outcome: outcome})
+	e := settledEvent(id, attempt, outcome)
+	e.took = took
+	n.post(e)
+}
+
+func settledEvent(id brain.RequestID, attempt int, outcome brain.Outcome) event {
+	return event{kind: evSettled, id: id, attempt: attempt, outcome: outcome}
 }
 
 // Load tells a connection's load.
@@ -191,8 +197,11 @@
 	n.post(event{kind: evLoad, id: id, load: load})
 }
 
-// Gone tells that nothing more is owed to a client.
-func (n *Node) Gone(id brain.RequestID) { n.post(event{kind: evGone, id: id}) }
+// Gone tells that nothing more is owed to a client, and how many sends its connection has taken: a later one
+// is on its way to no one, and is settled here.
+func (n *Node) Gone(id brain.RequestID, taken int) {
+	n.post(event{kind: evGone, id: id, attempt: taken})
+}
 
 // Addr asks where a host is, "" where that is not known.
 func (n *Node) Addr(id brain.ServerID) string {
@@ -313,6 +322,9 @@
 		if r != nil && !r.up {
 			n.answer(r)
 			n.decide(brain.ClientGone{ID: e.id})
+			if r.out && r.attempts > e.attempt {
+				n.settle(settledEvent(e.id, r.attempts-1, brain.NeverPassed), r)
+			}
 			n.drop(e.id, r)
 		}
 	case evList:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -169,7 +169,7 @@
 func TestClientGoneFreesEverything(t *testing.T) {
 	n, _, _ := held(t, entry("s1", wire.Serving))
 	p := arrive(t, n, "r")
-	n.take(event{kind: evGone, id: "r"})
+	n.take(event{kind: evGone, id: "r", attempt: 1})
 	if !strings.HasSuffix(p.heard(), "cancel 0") || n.Owed() != 0 || len(n.reqs) != 1 {
 		t.Fatalf("%s; %d owed, %d kept", p.heard(), n.Owed(), len(n.reqs))
 	}
@@ -177,6 +177,12 @@
 	if len(n.reqs) != 0 || strings.Contains(p.heard(), "refuse") {
 		t.Errorf("%s; %d kept", p.heard(), len(n.reqs))
 	}
+	// A send that meets a connection which has ended is taken by no one and would be kept for ever.
+	arrive(t, n, "q")
+	n.take(event{kind: evGone, id: "q", attempt: 0})
+	if len(n.reqs) != 0 || n.Owed() != 0 {
+		t.Errorf("%d kept, %d owed", len(n.reqs), n.Owed())
+	}
 }
 
 // A send counts at its first byte: a dial that comes up after the grace must not be written to.
@@ -490,7 +496,7 @@
 	}
 	cancel()
 	<-ended
-	n.Gone("1") // must not block
+	n.Gone("1", 0) // must not block
 	if n.Addr("s1") != "" {
 		t.Error("an ended loop answers")
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+)
+
+const whole = `{"index":1,"groupSize":3,"zone":2,"zones":["a","b","c"],"registryMode":"ask","unheardOf":{"x":[1]},
+	"overShareWorth":0.1,"customers":[{"name":"acme"},{"name":"other"}],
+	"lanes":[{"name":"chat","aim":300,"deadline":1800.5,"semantics":"keyed","group":"zone","window":5000,"worth":3}],
+	"domain":{"groups":true,"mode":"pass","messageAim":[50],"tellsDelay":true,"tenantQuotaConnections":[48]},
+	"limits":{"cancel":true,"connectTimeout":250,"maxAttempts":5,"maxRetryAfter":2000,"probes":true,"retryAfter":true},
+	"report":{"how":"on_probe","fields":["util","x0"]},
+	"rules":{"answerSlack":16,"askWithin":10000,"coldShare":0.3,"fallMultiple":4,"overloadFor":1000,
+	"stopSendingWithin":400,"warmWithin":8600}}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse(7, []byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	class := brain.Class{SetupAim: 300 * time.Millisecond, Deadline: 1800500 * time.Microsecond, MessageAim: 50 * time.Millisecond,
+		Worth: 3, Effect: brain.Keyed, Scope: brain.ScopeZone, Window: 5 * time.Second}
+	switch {
+	case s.Seed != 7 || s.Index != 1 || s.GroupSize != 3 || s.Zone != 2 || s.OverShareWorth != 0.1:
+		t.Errorf("place: %+v", s)
+	case !s.Pass || !s.AskList || !s.MayCancel || !s.MayProbe || !s.Reports || s.MayTell || !s.Groups || !s.TellsDelay:
+		t.Errorf("what is allowed: %+v", s)
+	case len(s.Classes) != 1 || s.Classes[0] != class:
+		t.Errorf("classes %+v", s.Classes)
+	case !slices.Equal(s.Tenants, []brain.Tenant{{Connections: 48}, {}}):
+		t.Errorf("tenants %+v", s.Tenants)
+	case !slices.Equal(s.ClassNames, []string{"chat"}) || !slices.Equal(s.TenantNames, []string{"acme", "other"}) ||
+		!slices.Equal(s.ZoneNames, []string{"a", "b", "c"}):
+		t.Errorf("names %v %v %v", s.ClassNames, s.TenantNames, s.ZoneNames)
+	case s.ConnectTimeout != 250*time.Millisecond || s.AnswerSlack != 16*time.Millisecond || s.MaxRetryAfter != 2*time.Second ||
+		s.MaxAttempts != 5 || s.DrainGrace != 400*time.Millisecond || s.ColdShare != 0.3 || s.WarmWithin != 8600*time.Millisecond ||
+		s.FallMultiple != 4 || s.FallWindow != time.Second || s.AskWithin != 10*time.Second:
+		t.Errorf("figures: %+v", s)
+	}
+}
+
+func TestAdviceIsNotGivenWhereItIsNotAllowed(t *testing.T) {
+	s, err := Parse(1, []byte(strings.Replace(whole, `"retryAfter":true`, `"retryAfter":false`, 1)))
+	if err != nil || s.MaxRetryAfter != 0 {
+		t.Errorf("longest advice %v, error %v", s.MaxRetryAfter, err)
+	}
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{`"worth":3`, `"worth":"much"`, "lanes.worth"},
+		{`"connectTimeout":250`, `"connectTimeout":-1`, "limits.connectTimeout"},
+		{`"answerSlack":16`, `"answerSlack":1e13`, "rules.answerSlack"},
+		{`"coldShare":0.3`, `"coldShare":1.5`, "rules.coldShare"},
+		{`"groupSize":3`, `"groupSize":-3`, "groupSize"},
+		{`"group":"zone"`, `"group":"town"`, "lanes[0].group"},
+		{`"deadline":1800.5`, `"deadline":-1`, "lanes[0].aim"},
+		{`{"index"`, `["index"`, ""},
+	} {
+		text := strings.Replace(whole, c.from, c.to, 1)
+		_, err := Parse(1, []byte(text))
+		var wrong *FieldError
+		if text == whole || !errors.As(err, &wrong) || wrong.Field != c.field {
+			t.Errorf("%s: error %v, want one that names %q", c.to, err, c.field)
+		}
+	}
+	if _, err := Parse(1, []byte(`{}`)); err == nil || !strings.Contains(err.Error(), `"lanes"`) {
+		t.Errorf("no classes: error %v", err)
+	}
+}
