A ping tells how much slower than its best a host is, confirmed by a second one

A ping is not a message: its size is unknown to the node and a report beside the queue shows no pile. What it does show is how much slower than its best a host is, so that is what the note now rests on (pinged() in internal/node/members.go). A second ping confirms the first slow one, against hiccups of the node's machine.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -14,6 +14,7 @@
 type member struct {
 	id     brain.ServerID
 	addr   string
+	since  int64 // its last start, as listed
 	state  brain.ServerState
 	toldAt time.Time // when it was told to drain or be gone
 
@@ -23,6 +24,8 @@
 	pinged time.Time       // when the ping went out that has no answer yet
 	slow   bool            // the last note was over the bound
 	rest   bool            // no ping this second: one every other will do while it is well
+	best   time.Duration   // the shortest ping so far, 0 for none
+	doubt  time.Duration   // what a slow ping told that another is to confirm, 0 for none
 }
 
 const (
@@ -50,7 +53,9 @@
 			m = &member{id: id}
 			n.members[id] = m
 		}
-		m.addr = e.Addr
+		if m.addr = e.Addr; m.since != e.UpSince { // a host that has restarted is not what it was
+			m.since, m.best, m.doubt = e.UpSince, 0, 0
+		}
 		m.tell(states[e.Phase], now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
 			Since: time.Duration(e.UpSince) * time.Millisecond}
@@ -171,6 +176,37 @@
 	}
 }
 
+// pingIsWell is the part of the shortest aim that a message is taken to last at a host whose ping is at its
+// best. A ping is a piece of work like a message, of a size that the node can't know; what both show is how
+// much slower than its best a host is. So a host is told as slow from twice its best on, and is at the half of
+// the aim, from which on the module acts, at three times.
+const pingIsWell = 1.0 / 6
+
+// pinged takes in what a ping took. A slow one of a host that was well is confirmed by another at once: one
+// that met a hiccup of this machine is no news of the host.
+func (n *Node) pinged(m *member, took time.Duration) {
+	m.pinged = time.Time{}
+	if took < 0 {
+		return
+	}
+	if m.best == 0 || took < m.best {
+		m.best = took
+	}
+	message := took
+	if took-m.best > n.slowFrom/8 { // less is jitter
+		message = max(took, time.Duration(float64(took)/float64(m.best)*pingIsWell*float64(3*n.slowFrom)))
+	}
+	switch {
+	case m.doubt > 0:
+		message, m.doubt = min(message, m.doubt), 0
+	case message > n.slowFrom && !m.slow:
+		m.doubt, m.pinged = message, time.Now()
+		n.outside.Ping(m.id, m.addr)
+		return
+	}
+	n.note(m, message)
+}
+
 // note tells the module what a message takes at a host where that is slow, and once more when it is well.
 func (n *Node) note(m *member, took time.Duration) {
 	was := m.slow
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -343,9 +343,7 @@
 		n.decide(brain.Probed{Server: brain.ServerID(e.id), Outcome: e.outcome, Took: e.took, Excess: e.load})
 	case evPinged:
 		if m := n.members[brain.ServerID(e.id)]; m != nil {
-			if m.pinged = (time.Time{}); e.took >= 0 {
-				n.note(m, e.took)
-			}
+			n.pinged(m, e.took)
 		}
 	case evAddr:
 		addr := ""
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -350,20 +350,44 @@
 	if second(); len(w.pings) != 1 || w.pings[0] != on.id {
 		t.Fatalf("pings %v in two seconds, want one to the host where a client stands", w.pings)
 	}
-	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: 30 * time.Millisecond})
-	if !on.slow {
-		t.Error("a slow ping is no news")
+	pinged := func(took time.Duration) {
+		n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: took})
 	}
-	if second(); len(w.pings) != 2 {
-		t.Errorf("%d pings a second after a slow one, want 2", len(w.pings))
+	pinged(2 * time.Millisecond) // its best
+	for _, c := range []struct {
+		first, again time.Duration
+		slow         bool
+	}{
+		{3 * time.Millisecond, 0, false},                     // jitter
+		{30 * time.Millisecond, 2 * time.Millisecond, false}, // a hiccup of this machine
+		{7 * time.Millisecond, 6 * time.Millisecond, true},   // three times slower than at its best
+		{5 * time.Millisecond, 0, true},                      // still over twice
+		{3 * time.Millisecond, 0, false},                     // well again
+		{30 * time.Millisecond, 30 * time.Millisecond, true}, // slow by any measure
+	} {
+		second()
+		second()
+		before := len(w.pings)
+		pinged(c.first)
+		if (len(w.pings) > before) != (c.again > 0) {
+			t.Errorf("after %v: asked again %v", c.first, len(w.pings) > before)
+		}
+		if c.again > 0 {
+			pinged(c.again)
+		}
+		if on.slow != c.slow {
+			t.Errorf("after %v and %v: slow %v", c.first, c.again, on.slow)
+		}
 	}
-	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: time.Millisecond})
-	if on.slow {
-		t.Error("still slow after a swift ping")
+	n.reqs["r"].leaving = false // the module has moved it: have it back
+	before := len(w.pings)
+	if second(); len(w.pings) != before+1 {
+		t.Errorf("%d pings a second after a slow one, want 1", len(w.pings)-before)
 	}
+	pinged(2 * time.Millisecond)
 	second()
 	second()
-	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: -1})
+	pinged(-1)
 	if second(); on.slow {
 		t.Error("a host that could not be asked counts as slow")
 	}
@@ -373,6 +397,10 @@
 	if !on.slow {
 		t.Error("a ping without an answer is no news")
 	}
+	n.list(&wire.Catalog{Members: []wire.Member{{ID: string(on.id), UpSince: 5, Size: 1}}}, brain.ListChange)
+	if on.best != 0 {
+		t.Error("a host that has restarted is measured by what it was")
+	}
 }
 
 func TestMoveAllSpreadsOverTheTime(t *testing.T) {
