The way to a host is no part of its message time

Pings to hosts of other zones took 27 ms at best, over half the message aim, so far hosts were cut again and again. At fault: pinged() in internal/node/members.go took the whole ping for the message where that was more. The load report's form is now read as it was seen on the wire.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -192,9 +192,9 @@
 	if m.best == 0 || took < m.best {
 		m.best = took
 	}
-	message := took
-	if took-m.best > n.slowFrom/8 { // less is jitter
-		message = max(took, time.Duration(float64(took)/float64(m.best)*pingIsWell*float64(3*n.slowFrom)))
+	message := took - m.best    // the way there and back is no part of it: zones may lie far apart
+	if message > n.slowFrom/8 { // less is jitter
+		message = max(message, time.Duration(float64(took)/float64(m.best)*pingIsWell*float64(3*n.slowFrom)))
 	}
 	switch {
 	case m.doubt > 0:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -353,6 +353,13 @@
 	pinged := func(took time.Duration) {
 		n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: took})
 	}
+	// A host far away takes long to answer at its best too.
+	pinged(70 * time.Millisecond)
+	second()
+	second()
+	if pinged(75 * time.Millisecond); on.slow || on.doubt > 0 {
+		t.Error("the way to a host counts as its message time")
+	}
 	pinged(2 * time.Millisecond) // its best
 	for _, c := range []struct {
 		first, again time.Duration
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"math"
 	"strconv"
 	"strings"
@@ -101,20 +100,13 @@
 	Excess float64 // load over capacity, -1 where not reported
 }
 
-// ParsePinged reads the line that answers PING or STATS. The report is a JSON object of names and
-// values or a list like that of OPEN; names that it does not know are passed over.
+// ParsePinged reads the line that answers PING or STATS. The report is a list like that of OPEN; names that it
+// does not know are passed over.
 func ParsePinged(line []byte) Pinged {
 	p := Pinged{Excess: -1}
 	word, report, _ := strings.Cut(string(line), " ")
 	p.Well = word == "PONG"
-	var values map[string]any
-	if json.Unmarshal([]byte(report), &values) == nil {
-		if v, ok := values["x0"].(float64); ok && v >= 0 {
-			p.Excess = v
-		}
-		return p
-	}
-	for pair := range strings.FieldsFuncSeq(report, func(r rune) bool { return r == ',' || r == ' ' }) {
+	for pair := range strings.SplitSeq(report, ",") {
 		if name, value, _ := strings.Cut(pair, "="); name == "x0" {
 			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < math.MaxFloat64 {
 				p.Excess = v
