Hosts are pinged with their first connection, and act as slow from twice their best on

Ruled out: a slow machine, as the ping fell with the load. Now the first connection brings the first ping, and the module's bound is reached at twice the best.

--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -111,6 +111,12 @@
 		case "DO reset":
 			_ = c.SetLinger(0)
 			return
+		case "DO flood":
+			w := bufio.NewWriter(c)
+			for i := range floodLines {
+				_, _ = w.WriteString(floodLine(i))
+			}
+			_ = w.Flush()
 		case "DO nothing":
 		case "DO half":
 			_, _ = io.WriteString(c, "half a line")
@@ -120,6 +126,11 @@
 	}
 }
 
+// floodLines is more than the sockets between a host and its client hold.
+const floodLines = 20000
+
+func floodLine(i int) string { return fmt.Sprintf("F %d %s\r\n", i, strings.Repeat("x", i%1500)) }
+
 func (h *host) says(reply string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -159,6 +170,7 @@
 	mu      sync.Mutex
 	calls   []string
 	down    bool
+	mute    bool // says nothing more, not even its beat
 	watches map[chan string]bool
 	first   string // what a watch begins with
 	srv     *http.Server
@@ -195,6 +207,13 @@
 	}
 	text := first + "\n"
 	for {
+		r.mu.Lock()
+		mute := r.mute
+		r.mu.Unlock()
+		if mute {
+			<-q.Context().Done()
+			return
+		}
 		if _, err := io.WriteString(w, text); err != nil {
 			return
 		}
@@ -274,6 +293,7 @@
 	mode    string // "pass" or "proxy"
 	sockets int
 	aim     int // of a set-up, in ms
+	files   int // the system's limit on descriptors, 0 for none of the test's own
 	known   string
 }
 
@@ -314,9 +334,14 @@
 	return l.Addr().String()
 }
 
-func launch(t *testing.T, path string) *running {
+// launch starts the program; files above 0 limits its descriptors below what its configuration says.
+func launch(t *testing.T, path string, files int) *running {
 	t.Helper()
-	p := &running{cmd: exec.Command(program, "node"), log: &syncBuffer{}, done: make(chan error, 1)}
+	cmd := exec.Command(program, "node")
+	if files > 0 {
+		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", files, program))
+	}
+	p := &running{cmd: cmd, log: &syncBuffer{}, done: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
@@ -345,7 +370,7 @@
 		o.known = list(0, true)
 	}
 	addr := freeAddr(t)
-	p := launch(t, config(t, addr, discovery, o))
+	p := launch(t, config(t, addr, discovery, o), o.files)
 	p.addr = addr
 	for begin := time.Now(); time.Since(begin) < long; time.Sleep(20 * time.Millisecond) {
 		c, err := net.Dial("tcp", addr)
--- a/cmd/onyxstream/main_test.go
+++ b/cmd/onyxstream/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"os"
@@ -210,6 +211,49 @@
 	p.open(t, "").hears("UP ")
 }
 
+// A watch whose connection stands but that says nothing, not even its beat, is as good as lost.
+func TestSilentWatchIsTakenUpAgain(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "h1")
+	reg := newRegistry(t, list(1, true, h.member("SERVING")))
+	p := start(t, options{known: list(1, true, h.member("SERVING"))}, reg.addr)
+	eventually(t, "the first watch", func() bool { return len(reg.called()) == 1 })
+	reg.mu.Lock()
+	reg.mute = true
+	reg.mu.Unlock()
+	eventually(t, "the node asks again", func() bool { return len(reg.called()) > 1 })
+	p.open(t, "").hears("UP ")
+}
+
+// Who does not read holds back who writes, and loses nothing.
+func TestSlowReadersLoseNothing(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "h1")
+	reg := newRegistry(t, list(1, true, h.member("SERVING")))
+	p := start(t, options{known: list(1, true, h.member("SERVING"))}, reg.addr)
+	for _, way := range []string{"from the host", "both ways"} {
+		k := p.open(t, "")
+		k.hears("UP ")
+		if way == "from the host" {
+			k.say("DO flood\r\n")
+		} else {
+			go func() {
+				w := bufio.NewWriter(k.c)
+				for i := range floodLines {
+					_, _ = w.WriteString(floodLine(i))
+				}
+				_ = w.Flush()
+			}()
+		}
+		time.Sleep(300 * time.Millisecond) // long enough for all buffers to fill
+		for i := range floodLines {
+			if line, err := k.r.ReadString('\n'); err != nil || line != floodLine(i) {
+				t.Fatalf("%s, line %d: %.20q, error %v", way, i, line, err)
+			}
+		}
+	}
+}
+
 func TestGarbageIsAnsweredOrEnded(t *testing.T) {
 	t.Parallel()
 	h := newHost(t, "h1")
@@ -274,6 +318,23 @@
 	eventually(t, "there is room again", func() bool { return strings.HasPrefix(p.open(t, "").hears(""), "UP ") })
 }
 
+// At the system's own limit an accept fails. That must pause the listener, not end it.
+func TestAcceptThatFailsDoesNotEndTheListener(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "h1")
+	reg := newRegistry(t, list(1, true, h.member("SERVING")))
+	p := start(t, options{known: list(1, true, h.member("SERVING")), sockets: 256, files: 32}, reg.addr)
+	var held []*client
+	for range 60 {
+		held = append(held, p.open(t, ""))
+	}
+	eventually(t, "an accept fails", func() bool { return strings.Contains(p.log.String(), "could not be accepted") })
+	for _, k := range held {
+		_ = k.c.Close()
+	}
+	eventually(t, "clients are served again", func() bool { return strings.HasPrefix(p.open(t, "").hears(""), "UP ") })
+}
+
 func TestNothingIsLeftOpen(t *testing.T) {
 	t.Parallel()
 	a, b := newHost(t, "ha"), newHost(t, "hb")
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -53,6 +53,7 @@
 	conns   map[*conn]struct{}
 	used    int // clients within the budget
 	refused int // clients being refused
+	closed  bool
 	pingers map[brain.ServerID]*pinger
 	wg      sync.WaitGroup
 }
@@ -68,6 +69,14 @@
 // Serve accepts clients until the listener is closed. A failing accept pauses it and never ends it.
 func (d *Driver) Serve(l *net.TCPListener) error {
 	for {
+		if d.packed() {
+			// Whoever comes now waits in the listener's queue for the moment that a refusal takes: ending the
+			// connection without an answer would lose a request.
+			d.log.Info("no descriptor is left even to refuse clients: they wait")
+			for d.packed() {
+				time.Sleep(acceptPause)
+			}
+		}
 		c, err := l.AcceptTCP()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -81,20 +90,38 @@
 	}
 }
 
+// room reports whether one more client is within the budget; mu is held.
+func (d *Driver) room() bool { return (d.used+1)*perClient+ownNeed+refusals <= d.cfg.Sockets }
+
+// packed reports whether a client could not even be refused.
+func (d *Driver) packed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.closed && !d.room() && d.refused >= refusals
+}
+
+// begin counts a goroutine; false once the driver has ended.
+func (d *Driver) begin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.closed {
+		d.wg.Add(1)
+	}
+	return !d.closed
+}
+
 // take gives an accepted client its goroutine, within the budget or to be refused.
 func (d *Driver) take(client *net.TCPConn) {
 	_ = client.SetNoDelay(true)
 	c := &conn{d: d, client: client, cmds: make(chan command, 8), verdict: make(chan bool, 1),
 		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
 	d.mu.Lock()
-	c.within = (d.used+1)*perClient+ownNeed+refusals <= d.cfg.Sockets
-	if !c.within && d.refused >= refusals {
+	if d.closed {
 		d.mu.Unlock()
-		d.log.Info("no descriptor is left even to refuse a client")
 		reset(client)
 		return
 	}
-	if c.within {
+	if c.within = d.room(); c.within {
 		d.used++
 	} else {
 		d.refused++
@@ -121,6 +148,7 @@
 // Abort resets all connections, as the end of the process would, and waits for their goroutines.
 func (d *Driver) Abort() {
 	d.mu.Lock()
+	d.closed = true
 	for c := range d.conns {
 		c.abort()
 	}
@@ -134,7 +162,9 @@
 
 // Probe examines a host on a connection of its own.
 func (d *Driver) Probe(id brain.ServerID, addr string) {
-	d.wg.Add(1)
+	if !d.begin() {
+		return
+	}
 	go func() {
 		defer d.wg.Done()
 		defer d.caught("a probe failed badly")
--- a/internal/driver/ping.go
+++ b/internal/driver/ping.go
@@ -28,6 +28,9 @@
 func (d *Driver) Ping(id brain.ServerID, addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
 	p := d.pingers[id]
 	if p != nil && p.addr != addr {
 		close(p.asks)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -159,13 +159,12 @@
 		m.took = m.took[:0]
 		switch {
 		case m.some == "":
-		case n.set.TellsDelay && n.set.MayProbe:
+		case n.pings():
 			if m.rest = !m.rest && !m.slow; m.rest {
 				continue
 			}
 			if m.pinged.IsZero() {
-				m.pinged = now
-				n.outside.Ping(id, m.addr)
+				n.ping(m, now)
 			} else {
 				n.note(m, now.Sub(m.pinged))
 			}
@@ -176,11 +175,27 @@
 	}
 }
 
+// pings reports whether pings time the messages.
+func (n *Node) pings() bool { return n.set.TellsDelay && n.set.MayProbe && n.slowFrom > 0 }
+
+func (n *Node) ping(m *member, now time.Time) {
+	m.pinged = now
+	n.outside.Ping(m.id, m.addr)
+}
+
+// meet pings a host with its first connection. Its best is what all later pings are held against, and a host
+// that was first pinged in a crowd passed for well as long as the crowd stayed.
+func (n *Node) meet(m *member) {
+	if n.pings() && m.best == 0 && m.pinged.IsZero() {
+		n.ping(m, time.Now())
+	}
+}
+
 // pingIsWell is the part of the shortest aim that a message is taken to last at a host whose ping is at its
 // best. A ping is a piece of work like a message, of a size that the node can't know; what both show is how
-// much slower than its best a host is. So a host is told as slow from twice its best on, and is at the half of
-// the aim, from which on the module acts, at three times.
-const pingIsWell = 1.0 / 6
+// much slower than its best a host is. So a host is told as slow from a third over its best on, and is at the
+// half of the aim, from which on the module acts, at twice.
+const pingIsWell = 1.0 / 4
 
 // pinged takes in what a ping took. A slow one of a host that was well is confirmed by another at once: one
 // that met a hiccup of this machine is no news of the host.
@@ -200,8 +215,8 @@
 	case m.doubt > 0:
 		message, m.doubt = min(message, m.doubt), 0
 	case message > n.slowFrom && !m.slow:
-		m.doubt, m.pinged = message, time.Now()
-		n.outside.Ping(m.id, m.addr)
+		m.doubt = message
+		n.ping(m, time.Now())
 		return
 	}
 	n.note(m, message)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -308,6 +308,7 @@
 			r.up = true
 			n.open.Add(1)
 			n.answer(r)
+			n.meet(r.on)
 			n.decide(brain.Opened{ID: e.id, Attempt: e.attempt, Server: r.on.id, Took: e.took})
 		}
 	case evSettled:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -338,6 +338,11 @@
 	n.set.TellsDelay, n.set.MayProbe = true, true
 	p := up(t, n, "r")
 	on := n.reqs["r"].on
+	if len(w.pings) != 1 || w.pings[0] != on.id {
+		t.Fatalf("pings %v with a first connection, want one to its host", w.pings)
+	}
+	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: 80 * time.Millisecond})
+	w.pings = nil
 	p.pulse = Pulse{Answered: 1, Took: time.Millisecond}
 	now := time.Now()
 	second := func() {
@@ -368,7 +373,7 @@
 		{3 * time.Millisecond, 0, false},                     // jitter
 		{30 * time.Millisecond, 2 * time.Millisecond, false}, // a hiccup of this machine
 		{7 * time.Millisecond, 6 * time.Millisecond, true},   // three times slower than at its best
-		{5 * time.Millisecond, 0, true},                      // still over twice
+		{5 * time.Millisecond, 0, true},                      // still slow
 		{3 * time.Millisecond, 0, false},                     // well again
 		{30 * time.Millisecond, 30 * time.Millisecond, true}, // slow by any measure
 	} {
