A panic after a connection is up resets both sides; attempts end by the client's deadline

Seen in review of conn.drive: a panic after UP wrote FAIL among the host's lines, which no host had said, and an attempt with a longer time-out than the client's would have kept the backstop waiting. Tests for the first.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -201,7 +201,10 @@
 				zap.ByteString("stack", debug.Stack()))
 			c.mu.Lock()
 			if c.host != nil {
-				_ = c.host.Close()
+				// It was up: an answer of this node's own would stand among the host's lines.
+				final = true
+				reset(c.host)
+				reset(c.client)
 			}
 			c.mu.Unlock()
 		}
@@ -239,7 +242,9 @@
 				return
 			}
 			taken, out = cmd.send.N+1, 1
-			final = c.send(*cmd.send)
+			a := *cmd.send
+			a.Timeout = min(a.Timeout, time.Until(until)+c.d.cfg.AnswerSlack) // the backstop, while an attempt is out
+			final = c.send(a)
 			if out = 0; final {
 				return
 			}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -125,9 +125,33 @@
 			t.Errorf("answered %q, error %v", all, err)
 		}
 	}
-	r.n.Addr("") // what was posted before has been taken once this is answered
-	if r.n.Owed() != 0 {
-		t.Errorf("%d requests still owed", r.n.Owed())
+	waitFor(t, "nothing is owed", func() bool { return r.n.Owed() == 0 })
+}
+
+// A panic after the connection was up must not put an answer of the node's own among the host's lines.
+func TestAPanicAfterUpResets(t *testing.T) {
+	log := zap.New(panicking{zapcore.NewNopCore(), "a connection ended"})
+	r := newRig(t, log, true, answering(t, "UP r\r\nBYE\r\n"))
+	c, in := r.ask(t, "OPEN a key c=chat,d=5000")
+	for _, want := range []string{"UP r\r\n", "BYE\r\n"} {
+		if line, err := in.ReadString('\n'); line != want {
+			t.Fatalf("heard %q, error %v; want %q", line, err, want)
+		}
+	}
+	_ = c.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(in); len(rest) > 0 || err == nil {
+		t.Errorf("then %q, error %v", rest, err)
+	}
+	waitFor(t, "nothing is open", func() bool { return r.n.Open() == 0 })
+}
+
+// waitFor waits for what must become true.
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for begin := time.Now(); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > 20*time.Second {
+			t.Fatalf("never: %s", what)
+		}
 	}
 }
 
@@ -150,24 +174,19 @@
 	}
 	r := newRig(t, zap.NewNop(), true, host(t, silent), host(t, silent))
 	c, _ := r.ask(t, "OPEN a key c=chat,d=5000")
-	wait := func(what string, f func() bool) {
-		t.Helper()
-		for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+	count := func(n *int, want int) func() bool {
+		return func() bool {
 			mu.Lock()
-			ok := f()
-			mu.Unlock()
-			if ok {
-				return
-			}
+			defer mu.Unlock()
+			return *n == want
 		}
-		t.Fatalf("never: %s", what)
 	}
-	wait("the line reaches a host", func() bool { return lines == 1 })
+	waitFor(t, "the line reaches a host", count(&lines, 1))
 	_ = c.Close()
-	wait("the attempt is withdrawn", func() bool { return ended == 1 })
-	wait("nothing is owed", func() bool { return r.n.Owed() == 0 })
-	if r.end(); lines != 1 {
-		t.Errorf("%d hosts were tried", lines)
+	waitFor(t, "the attempt is withdrawn", count(&ended, 1))
+	waitFor(t, "nothing is owed", func() bool { return r.n.Owed() == 0 })
+	if r.end(); !count(&lines, 1)() {
+		t.Error("another host was tried")
 	}
 }
 
