The first note of a slowed host tells what piles up there if it was half used

The module cuts by how fast messages grow late; a ping answered beside the queue does not show that, so the note in pinged() (internal/node/members.go) held a tenth of a second where several piled up. Now the first note adds what a second piles up at a host that was half used at its best, k/2-1 seconds at k times slower.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -194,7 +194,10 @@
 // pingIsWell is the part of the shortest aim that a message is taken to last at a host whose ping is at its
 // best. A ping is a piece of work like a message, of a size that the node can't know; what both show is how
 // much slower than its best a host is. So a host is told as slow from a third over its best on, and is at the
-// half of the aim, from which on the module acts, at twice.
+// half of the aim, from which on the module acts, at twice. From there on, were it half used at its best, it is
+// asked more than it can do, and what is asked beyond that piles up; the first note says by how much in a second,
+// as the module cuts by how fast messages grow late. Without that a host at a ninth of its pace kept most of
+// its clients until it broke them all.
 const pingIsWell = 1.0 / 4
 
 // pinged takes in what a ping took. A slow one of a host that was well is confirmed by another at once: one
@@ -209,7 +212,11 @@
 	}
 	message := took - m.best    // the way there and back is no part of it: zones may lie far apart
 	if message > n.slowFrom/8 { // less is jitter
-		message = max(message, time.Duration(float64(took)/float64(m.best)*pingIsWell*float64(3*n.slowFrom)))
+		slower := float64(took) / float64(m.best)
+		message = max(message, time.Duration(slower*pingIsWell*float64(3*n.slowFrom)))
+		if slower > 2 && !m.slow { // what has piled up since a second ago, which a ping beside the queue does not show
+			message += time.Duration((slower/2 - 1) * float64(time.Second))
+		}
 	}
 	switch {
 	case m.doubt > 0:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -415,6 +415,30 @@
 	}
 }
 
+// A host that has slowed to an eighth is asked four times what it can do if it was half used: four fifths
+// of its clients are to leave at once, not a sixth.
+func TestFirstNoteOfASlowedHostTellsOfThePile(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	var ports []*port
+	for i := range 20 {
+		ports = append(ports, up(t, n, fmt.Sprint("r", i)))
+	}
+	for range noteEvery {
+		n.pulse(time.Now())
+	}
+	for _, took := range []time.Duration{3, 24, 24} {
+		n.take(event{kind: evPinged, id: "s1", took: took * time.Millisecond})
+	}
+	moved := 0
+	for _, p := range ports {
+		moved += strings.Count(p.heard(), "move")
+	}
+	if moved < 15 || moved > 17 {
+		t.Errorf("%d of 20 moved, want four fifths", moved)
+	}
+}
+
 func TestMoveAllSpreadsOverTheTime(t *testing.T) {
 	n, _, _ := held(t, entry("s1", wire.Serving))
 	var ports []*port
