Clients of a silent host are moved after four seconds, not five

Seen in review: a client speaks every two seconds, so with five seconds of waiting for an answer and the tick a host could go 7.25 s without a word, over the protocol's seven if those count from the last answer.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -93,9 +93,10 @@
 const (
 	tickEvery = 250 * time.Millisecond
 	noteEvery = 4 // ticks: the simulator tells of slow messages once a second
-	// silence is how long a message may wait for anything from its host, with room to send the client
-	// away before the seven seconds that the protocol allows.
-	silence = 5 * time.Second
+	// silence is how long a message may wait for anything from its host. Clients send one every two seconds,
+	// so a host was last heard of up to two seconds before: four more leave room within the seven that the
+	// protocol allows, counted from either.
+	silence = 4 * time.Second
 )
 
 // pulse looks after what stands: hosts that have gone silent, clients that are to leave, and, once a
