SIGHUP reads the configuration again and follows the discovery it names

Cause: nothing caught SIGHUP (lifecycle/run.go, Run), so Go ended the process.

The file is read whole or not at all; a bad one keeps the old configuration and the log names the field; fields that can't change are named as left. The loop owns the address and counts its calls: the new discovery is asked for the whole list, an old version is never named to it, and the end of an older call is no failure to the module. The old watch goes on until the new list is there, so no news falls between.

--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -205,6 +205,10 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
+	if q.URL.Query().Get("watch") == "" {
+		_, _ = io.WriteString(w, first)
+		return
+	}
 	text := first + "\n"
 	for {
 		r.mu.Lock()
@@ -265,10 +269,11 @@
 
 // running is the program, started.
 type running struct {
-	addr string
-	cmd  *exec.Cmd
-	log  *syncBuffer
-	done chan error
+	addr   string
+	config string // the path of its configuration
+	cmd    *exec.Cmd
+	log    *syncBuffer
+	done   chan error
 }
 
 type syncBuffer struct {
@@ -341,7 +346,7 @@
 	if files > 0 {
 		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", files, program))
 	}
-	p := &running{cmd: cmd, log: &syncBuffer{}, done: make(chan error, 1)}
+	p := &running{config: path, cmd: cmd, log: &syncBuffer{}, done: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
--- a/internal/driver/discovery.go
+++ b/internal/driver/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,32 +14,31 @@
 )
 
 const (
-	callWait = 3 * time.Second         // for the first answer of a call
+	callWait = 3 * time.Second         // for the first answer of a watch
+	listWait = 1500 * time.Millisecond // for the whole list: a discovery that was just named is to be told of soon
 	beatWait = 4500 * time.Millisecond // two beats of 2 s and some: a watch silent for longer is broken
 )
 
 // Discovery follows the list of hosts.
 type Discovery struct {
-	addr string
 	log  *zap.Logger
 	node *node.Node
-	asks chan int64 // versions to watch from
+	asks chan node.Call
 }
 
-// NewDiscovery makes a follower of the discovery at an address. Attach must follow before Run.
-func NewDiscovery(addr string, log *zap.Logger) *Discovery {
-	return &Discovery{addr: addr, log: log, asks: make(chan int64, 1)}
+// NewDiscovery makes a follower of discovery. Attach must follow before Run.
+func NewDiscovery(log *zap.Logger) *Discovery {
+	return &Discovery{log: log, asks: make(chan node.Call, 1)}
 }
 
 // Attach names the node that is told.
 func (y *Discovery) Attach(n *node.Node) { y.node = n }
 
-// Watch asks for the changes after a version. It does not block: a newer question takes the place of
-// one that has not been looked at.
-func (y *Discovery) Watch(after int64) {
+// Watch makes a call. It does not block: a newer one takes the place of one that has not been looked at.
+func (y *Discovery) Watch(q node.Call) {
 	for {
 		select {
-		case y.asks <- after:
+		case y.asks <- q:
 			return
 		default:
 		}
@@ -49,63 +49,137 @@
 	}
 }
 
-// Run makes the calls until the context ends. A new question ends the watch that is on. The end of a
-// call is told as a failure unless this node ended it.
+// call is a call under way.
+type call struct {
+	node.Call
+	cancel context.CancelFunc
+	over   chan struct{} // closed when it has ended
+	told   atomic.Bool   // it has brought its first list
+	prev   *call         // goes on until then, so that no news is missed between the two
+}
+
+// end ends a call and waits for it, so that its news can't come behind those of the next one.
+func (c *call) end() {
+	if c != nil {
+		c.cancel()
+		<-c.over
+	}
+}
+
+// Run makes the calls until the context ends. A new call ends the one before once it has brought its first list. The
+// end of a call is told as a failure unless this node ended it.
 func (y *Discovery) Run(ctx context.Context) error {
-	var end context.CancelFunc = func() {}
-	defer func() { end() }()
-	var over chan struct{} // closed when the call under way has ended
+	var now *call
 	for {
 		select {
 		case <-ctx.Done():
-			end()
-			if over != nil {
-				<-over
+			if now != nil {
+				now.end()
+				now.prev.end()
 			}
 			return nil
-		case after := <-y.asks:
-			end()
-			if over != nil {
-				<-over // so that its news can't come behind those of the new call
+		case q := <-y.asks:
+			prev := now
+			if now != nil && !now.told.Load() {
+				if now.end(); !now.told.Load() {
+					prev = now.prev
+				}
 			}
-			var call context.Context
-			call, end = context.WithCancel(ctx)
-			over = make(chan struct{})
-			go func(over chan struct{}) {
-				defer close(over)
-				err := y.follow(call, after)
-				if call.Err() == nil {
-					y.log.Info("the watch of the list ended", zap.Error(err))
-					y.node.WatchFailed()
+			now = &call{Call: q, over: make(chan struct{}), prev: prev}
+			var on context.Context
+			on, now.cancel = context.WithCancel(ctx)
+			go func(c *call) {
+				defer close(c.over)
+				err := y.follow(on, c)
+				if on.Err() == nil {
+					y.log.Info("the watch of the list ended", zap.String("discovery", c.Addr), zap.Error(err))
+					y.node.WatchFailed(c.N)
 				}
-			}(over)
+			}(now)
 		}
 	}
 }
 
-func (y *Discovery) follow(ctx context.Context, after int64) (err error) {
+// tell hands over what a call brought. With its first list the call before it ends.
+func (y *Discovery) tell(c *call, list *wire.Catalog) {
+	if !c.told.Load() {
+		c.prev.end()
+		c.prev = nil
+		c.told.Store(true)
+	}
+	y.node.Listed(c.N, list)
+}
+
+func (y *Discovery) follow(ctx context.Context, c *call) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			y.log.Error("following the list failed badly", zap.Any("panic", p))
 			err = errors.New("panic")
 		}
 	}()
-	dialer := net.Dialer{Timeout: callWait, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", y.addr)
+	after := c.After
+	if after == node.Whole {
+		list, err := y.whole(ctx, c.Addr)
+		if err != nil {
+			return err
+		}
+		after = list.Revision
+		y.tell(c, &list)
+	}
+	return y.watch(ctx, c, after)
+}
+
+// dial opens a connection to discovery; done closes it.
+func dial(ctx context.Context, addr string, wait time.Duration) (c net.Conn, done func(), err error) {
+	dialer := net.Dialer{Timeout: wait, KeepAlive: -1}
+	if c, err = dialer.DialContext(ctx, "tcp", addr); err != nil {
+		return nil, nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(wait))
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	return c, func() { stop(); _ = c.Close() }, nil
+}
+
+// whole asks for the whole list.
+func (y *Discovery) whole(ctx context.Context, addr string) (list wire.Catalog, err error) {
+	c, done, err := dial(ctx, addr, listWait)
+	if err != nil {
+		return list, err
+	}
+	defer done()
+	if _, err := c.Write(wire.ListRequest(addr)); err != nil {
+		return list, err
+	}
+	buf := wire.GetBuffer()
+	defer buf.Free()
+	var s wire.Stream
+	for !s.Ended() {
+		n, err := c.Read(buf[:])
+		if err := s.Feed(buf[:n]); err != nil {
+			return list, err
+		}
+		if err != nil && !s.Closed() {
+			return list, err
+		}
+	}
+	list, err = wire.ParseCatalog(s.Body())
+	list.Complete = true
+	return list, err
+}
+
+// watch follows the changes after a version.
+func (y *Discovery) watch(ctx context.Context, call *call, after int64) error {
+	c, done, err := dial(ctx, call.Addr, callWait)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })()
-	first := time.Now().Add(callWait)
-	_ = c.SetDeadline(first)
-	if _, err := c.Write(wire.WatchRequest(y.addr, after)); err != nil {
+	defer done()
+	if _, err := c.Write(wire.WatchRequest(call.Addr, after)); err != nil {
 		return err
 	}
 	buf := wire.GetBuffer()
 	defer buf.Free()
 	var s wire.Stream
-	told := false
 	for {
 		n, err := c.Read(buf[:])
 		if err := s.Feed(buf[:n]); err != nil {
@@ -119,15 +193,14 @@
 			if err != nil {
 				return err
 			}
-			told = true
-			y.node.Listed(&list)
+			y.tell(call, &list)
 		}
 		switch {
 		case s.Ended():
 			return errors.New("discovery ended it")
 		case err != nil:
 			return err
-		case told:
+		case call.told.Load():
 			_ = c.SetReadDeadline(time.Now().Add(beatWait))
 		}
 		if ctx.Err() != nil {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -33,7 +33,7 @@
 func newRig(t *testing.T, log *zap.Logger, loop bool, hosts ...string) *rig {
 	t.Helper()
 	d, y := New(Config{Sockets: 256, ConnectTimeout: time.Second, AnswerSlack: 10 * time.Millisecond, Patience: time.Second}, log),
-		NewDiscovery(refusing(t), log)
+		NewDiscovery(log)
 	set := settings.Settings{Settings: brain.Settings{GroupSize: 1, MaxAttempts: 3, MayCancel: true, AskList: true,
 		AskWithin: time.Hour, DrainGrace: time.Second, Classes: []brain.Class{{SetupAim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1}}},
 		ClassNames: []string{"chat"}}
@@ -41,7 +41,7 @@
 	for i, addr := range hosts {
 		known.Members = append(known.Members, wire.Member{ID: fmt.Sprint("h", i), Addr: addr, Size: 1})
 	}
-	n := node.New(set, known, struct {
+	n := node.New(set, known, refusing(t), struct {
 		*Discovery
 		*Driver
 	}{y, d}, log)
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"onyxstream/internal/settings"
@@ -42,6 +43,34 @@
 
 // Load reads the file that PROXY_CONFIG names. What it lacks is taken from the variables beside it.
 func Load() (Config, error) {
+	return load(file{Name: os.Getenv("PROXY_NAME"), Listen: os.Getenv("PROXY_LISTEN"), Discovery: os.Getenv("PROXY_DISCOVERY")})
+}
+
+// Reload reads the file again, whole or not at all: on an error the old configuration holds. The address of
+// discovery can change and must be in the file; the names of fields that differ and can't change are in left.
+func (old Config) Reload() (next Config, left []string, err error) {
+	if next, err = load(file{Name: old.Name, Listen: old.Listen}); err != nil {
+		return old, nil, err
+	}
+	next.Settings.Seed = old.Settings.Seed // each start has its own
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", next.Name == old.Name}, {"listen", next.Listen == old.Listen}, {"limits.cores", next.Cores == old.Cores},
+		{"limits.memory_mb", next.MemoryMB == old.MemoryMB}, {"limits.sockets", next.Sockets == old.Sockets},
+		{"settings", reflect.DeepEqual(next.Settings, old.Settings)},
+	} {
+		if !f.same {
+			left = append(left, f.name)
+		}
+	}
+	old.Discovery = next.Discovery
+	return old, left, nil
+}
+
+// load reads the file; f holds what counts where it says nothing.
+func load(f file) (Config, error) {
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("PROXY_CONFIG is not set: it names the configuration file")
@@ -50,11 +79,10 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("the configuration can't be read: %w", err)
 	}
-	return parse(text)
+	return parse(text, f)
 }
 
-func parse(text []byte) (Config, error) {
-	f := file{Name: os.Getenv("PROXY_NAME"), Listen: os.Getenv("PROXY_LISTEN"), Discovery: os.Getenv("PROXY_DISCOVERY")}
+func parse(text []byte, f file) (Config, error) {
 	if err := json.Unmarshal(text, &f); err != nil {
 		var kind *json.UnmarshalTypeError
 		if errors.As(err, &kind) {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -39,6 +39,9 @@
 
 // Run is a node's life, from its configuration to a signal to stop.
 func Run() error {
+	// Before all else: a SIGHUP that nobody waits for ends the process.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
 	cfg, err := Load()
 	if err != nil {
 		return err
@@ -49,8 +52,8 @@
 	// Stacks and sockets count too: the collector gets three quarters.
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
 
-	d, y := newDriver(cfg, log), driver.NewDiscovery(cfg.Discovery, log)
-	n := node.New(cfg.Settings, cfg.Known, outside{y, d}, log)
+	d, y := newDriver(cfg, log), driver.NewDiscovery(log)
+	n := node.New(cfg.Settings, cfg.Known, cfg.Discovery, outside{y, d}, log)
 	d.Attach(n)
 	y.Attach(n)
 
@@ -67,6 +70,10 @@
 	g.Go(func() error { return n.Run(ctx) })
 	g.Go(func() error { return y.Run(ctx) })
 	g.Go(func() error { return d.Serve(l) })
+	g.Go(func() error {
+		follow(ctx, again, cfg, n, log)
+		return nil
+	})
 	g.Go(func() error {
 		select {
 		case <-stop.Done():
@@ -83,6 +90,31 @@
 	return g.Wait()
 }
 
+// follow reads the configuration again with each signal, also while the node drains. Signals that come meanwhile
+// are one more reading. Connections notice nothing of it.
+func follow(ctx context.Context, again <-chan os.Signal, cfg Config, n *node.Node, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		next, left, err := cfg.Reload()
+		if err != nil {
+			log.Error("the configuration stays as it was", zap.Error(err))
+			continue
+		}
+		for _, field := range left {
+			log.Warn("a field of the configuration can't change before a restart: left as it was", zap.String("field", field))
+		}
+		log.Info("the configuration was read again", zap.String("discovery", next.Discovery))
+		if next.Discovery != cfg.Discovery {
+			n.Follow(next.Discovery)
+		}
+		cfg = next
+	}
+}
+
 // drain goes on serving until the front has noticed and nothing is owed. Where packets pass through,
 // what is open then goes on by way of other nodes; elsewhere every client is sent away, spread over the
 // time there is so that the others don't get them all at once.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -72,7 +72,6 @@
 			delete(n.members, id)
 		}
 	}
-	n.revision = c.Revision
 	n.decide(ev)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,11 +44,22 @@
 
 // Outside is what the loop needs of the sockets beside its ports. None of it may block.
 type Outside interface {
-	Watch(after int64)                    // ask discovery for the changes after a version
+	Watch(Call)                           // ask discovery for the list, and follow it
 	Probe(id brain.ServerID, addr string) // examine a host, for the module
 	Ping(id brain.ServerID, addr string)  // time a message at a host
 }
 
+// Call is a question to discovery that lasts: for what changed after a version, or for the whole list where
+// After is Whole, and for all that follows. Calls count up, and what they bring comes with their number.
+type Call struct {
+	N     uint64
+	Addr  string
+	After int64
+}
+
+// Whole asks for the whole list: no version is known to the discovery that is asked.
+const Whole = -1
+
 // Node is the memory of one node.
 type Node struct {
 	set     settings.Settings
@@ -59,13 +70,17 @@
 	events  chan event
 	done    chan struct{}
 
-	queue    []brain.Event // not yet handled by the module
-	reqs     map[brain.RequestID]*request
-	members  map[brain.ServerID]*member
-	classes  map[string]int
-	tenants  map[string]int
-	zones    map[string]int
-	revision int64
+	queue   []brain.Event // not yet handled by the module
+	reqs    map[brain.RequestID]*request
+	members map[brain.ServerID]*member
+	classes map[string]int
+	tenants map[string]int
+	zones   map[string]int
+
+	discovery string // where the list is asked for
+	call      uint64 // the last question to it
+	revision  int64  // as of its list there, Whole where that knows none of ours
+
 	slowFrom time.Duration // the time of a message from which on the module is told, 0 for never
 	timers   timers
 	watching bool      // sites that need not be asked: a watch is on or under way
@@ -101,6 +116,7 @@
 	evGone
 	evList
 	evWatchFailed
+	evFollow
 	evProbed
 	evPinged
 	evMoveAll
@@ -118,12 +134,14 @@
 	opening *wire.Opening
 	until   time.Time
 	list    *wire.Catalog
+	call    uint64
 	reply   chan string
+	text    string
 }
 
-// New makes a node that knows its settings and the list as it was last held.
-func New(set settings.Settings, known wire.Catalog, outside Outside, log *zap.Logger) *Node {
-	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(),
+// New makes a node that knows its settings, the list as it was last held, and where to ask for it.
+func New(set settings.Settings, known wire.Catalog, discovery string, outside Outside, log *zap.Logger) *Node {
+	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
@@ -134,6 +152,7 @@
 		}
 	}
 	n.list(&known, brain.ListCached)
+	n.revision = known.Revision
 	return n
 }
 
@@ -215,11 +234,16 @@
 	}
 }
 
-// Listed hands over news of discovery.
-func (n *Node) Listed(c *wire.Catalog) { n.post(event{kind: evList, list: c}) }
+// Listed hands over news that a call to discovery brought.
+func (n *Node) Listed(call uint64, c *wire.Catalog) {
+	n.post(event{kind: evList, call: call, list: c})
+}
 
-// WatchFailed tells that the call for the list failed, or the watch broke.
-func (n *Node) WatchFailed() { n.post(event{kind: evWatchFailed}) }
+// WatchFailed tells that a call to discovery failed, or that its watch broke.
+func (n *Node) WatchFailed(call uint64) { n.post(event{kind: evWatchFailed, call: call}) }
+
+// Follow has the list asked for at another address from now on.
+func (n *Node) Follow(addr string) { n.post(event{kind: evFollow, text: addr}) }
 
 // Probed tells the result of a probe; excess is -1 where the host reported none.
 func (n *Node) Probed(id brain.ServerID, outcome brain.Outcome, took time.Duration, excess float64) {
@@ -334,7 +358,18 @@
 			kind = brain.ListFull
 		}
 		n.list(e.list, kind)
+		if e.call == n.call { // a version of the discovery that was left means nothing to the one that is followed
+			n.revision = e.list.Revision
+		}
+	case evFollow:
+		// The module hears of it by the list alone: neither the end of the old watch nor a list that is not
+		// there yet is a failure, and what is known of the hosts holds until the new list is there.
+		n.discovery, n.revision = e.text, Whole
+		n.watch()
 	case evWatchFailed:
+		if e.call != n.call { // it was given up for another, which is to tell
+			return
+		}
 		if n.set.AskList {
 			n.decide(brain.ListEvent{Kind: brain.ListFailed, Version: n.revision})
 			return
@@ -503,5 +538,6 @@
 
 func (n *Node) watch() {
 	n.watching = true
-	n.outside.Watch(n.revision)
+	n.call++
+	n.outside.Watch(Call{N: n.call, Addr: n.discovery, After: n.revision})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -52,12 +52,12 @@
 
 // world records what the loop asks of the sockets beside its connections.
 type world struct {
-	watches []int64
+	watches []Call
 	probes  []brain.ServerID
 	pings   []brain.ServerID
 }
 
-func (w *world) Watch(after int64)                 { w.watches = append(w.watches, after) }
+func (w *world) Watch(c Call)                      { w.watches = append(w.watches, c) }
 func (w *world) Probe(id brain.ServerID, _ string) { w.probes = append(w.probes, id) }
 
 func (w *world) Ping(id brain.ServerID, _ string) { w.pings = append(w.pings, id) }
@@ -82,7 +82,7 @@
 	t.Helper()
 	core, logs := observer.New(zap.InfoLevel)
 	w := &world{}
-	return New(testSettings(), wire.Catalog{Revision: 7, Complete: true, Members: members}, w, zap.New(core)), w, logs
+	return New(testSettings(), wire.Catalog{Revision: 7, Complete: true, Members: members}, "d:1", w, zap.New(core)), w, logs
 }
 
 func opening(t *testing.T, line string) *wire.Opening {
@@ -212,7 +212,7 @@
 
 func TestCompleteListDropsWhatItLacks(t *testing.T) {
 	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
-	n.list(&wire.Catalog{Revision: 8, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}, brain.ListFull)
+	n.take(event{kind: evList, list: &wire.Catalog{Revision: 8, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}})
 	if n.members["s1"].state != brain.Gone || n.members["s2"].state != brain.Live || n.revision != 8 {
 		t.Errorf("s1 %v, s2 %v, revision %d", n.members["s1"].state, n.members["s2"].state, n.revision)
 	}
@@ -468,24 +468,65 @@
 	set := testSettings()
 	set.AskWithin = time.Millisecond // the module asks within a twentieth of it
 	w := &world{}
-	n := New(set, wire.Catalog{Revision: 7}, w, zap.NewNop())
+	n := New(set, wire.Catalog{Revision: 7}, "d:1", w, zap.NewNop())
 	time.Sleep(time.Millisecond)
 	n.decide(brain.Timer{Token: "sweep"})
-	if len(w.watches) != 1 || w.watches[0] != 7 {
+	if len(w.watches) != 1 || w.watches[0] != (Call{1, "d:1", 7}) {
 		t.Fatalf("watches %v, want one from version 7", w.watches)
 	}
-	n.take(event{kind: evList, list: &wire.Catalog{Revision: 9, Members: []wire.Member{entry("s2", wire.Serving)}}})
+	n.take(event{kind: evList, call: 1, list: &wire.Catalog{Revision: 9, Members: []wire.Member{entry("s2", wire.Serving)}}})
 	if n.revision != 9 || n.members["s2"] == nil {
 		t.Errorf("revision %d", n.revision)
 	}
 }
 
+// Another discovery is asked for the whole list, the versions of the old one mean nothing there, and the module
+// sees neither a failure nor an empty fleet until the new list is there.
+func TestFollowingAnotherDiscovery(t *testing.T) {
+	n, w, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.watch()
+	serves := func(when string) {
+		t.Helper()
+		if p := arrive(t, n, when); !strings.HasPrefix(p.heard(), "send 0 ") {
+			t.Errorf("%s: %q", when, p.heard())
+		}
+	}
+	n.take(event{kind: evFollow, text: "d:2"})
+	n.take(event{kind: evFollow, text: "d:3"})
+	if want := (Call{3, "d:3", Whole}); len(w.watches) != 3 || w.watches[2] != want {
+		t.Fatalf("asked %v, want %v last", w.watches, want)
+	}
+	n.take(event{kind: evWatchFailed, call: 1})
+	n.take(event{kind: evWatchFailed, call: 2})
+	serves("the-old-watch-has-ended")
+	// What the old one wrote was told and holds, its version does not.
+	n.take(event{kind: evList, call: 1, list: &wire.Catalog{Revision: 900, Members: []wire.Member{entry("s1", wire.Draining)}}})
+	if n.revision != Whole || n.members["s1"].state != brain.Draining {
+		t.Errorf("revision %d, s1 %v", n.revision, n.members["s1"].state)
+	}
+	n.take(event{kind: evWatchFailed, call: 3})
+	n.watch()
+	if got := w.watches[len(w.watches)-1]; got != (Call{4, "d:3", Whole}) {
+		t.Errorf("after a failure asked %v", got)
+	}
+	n.take(event{kind: evList, call: 4, list: &wire.Catalog{Revision: 2, Complete: true,
+		Members: []wire.Member{entry("s1", wire.Serving)}}})
+	n.watch()
+	if got := w.watches[len(w.watches)-1]; got != (Call{5, "d:3", 2}) {
+		t.Errorf("after the list asked %v", got)
+	}
+	if n.members["s2"].state != brain.Gone || n.members["s1"].state != brain.Live {
+		t.Error("the whole list does not hold")
+	}
+	serves("with-the-new-list")
+}
+
 // Sites that need not be asked have no module that asks: the node watches by itself, and again.
 func TestPushSitesAreWatchedAgain(t *testing.T) {
 	n, w, _ := held(t)
 	n.set.AskList = false
 	n.watch()
-	n.take(event{kind: evWatchFailed})
+	n.take(event{kind: evWatchFailed, call: 1})
 	n.pulse(time.Now())
 	if len(w.watches) != 1 {
 		t.Fatal("watched again at once")
@@ -546,7 +587,7 @@
 			n.Connected(id, 0)
 			n.Opened(id, 0, time.Millisecond)
 			n.Load(id, float64(i))
-			n.Listed(&wire.Catalog{Revision: int64(i), Members: []wire.Member{entry(fmt.Sprint("n", i%5), wire.Serving)}})
+			n.Listed(1, &wire.Catalog{Revision: int64(i), Members: []wire.Member{entry(fmt.Sprint("n", i%5), wire.Serving)}})
 			if n.Addr("s1") != "s1:1" {
 				t.Error("no address")
 			}
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -24,6 +24,11 @@
 	return fmt.Appendf(nil, "GET /catalog/members?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", after, host)
 }
 
+// ListRequest writes the call for the whole list.
+func ListRequest(host string) []byte {
+	return fmt.Appendf(nil, "GET /catalog/members HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\nConnection: close\r\n\r\n", host)
+}
+
 type httpState uint8
 
 const (
@@ -171,5 +176,21 @@
 	return line, true
 }
 
+// Closed tells that the connection has ended, which is the end of a body without a length. It reports whether the
+// answer is complete.
+func (s *Stream) Closed() bool {
+	if s.state == inBody && s.left < 0 {
+		s.state = ended
+	}
+	return s.Ended()
+}
+
+// Body takes all of the body that has come and was not taken yet.
+func (s *Stream) Body() []byte {
+	body := s.body
+	s.body = nil
+	return body
+}
+
 // Ended reports whether the answer is complete.
 func (s *Stream) Ended() bool { return s.state == ended }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -284,6 +284,29 @@
 	}
 }
 
+// A whole answer may have line ends anywhere, and its connection's end may be its only end.
+func TestStreamGivesAWholeBody(t *testing.T) {
+	for _, c := range []struct {
+		name, text   string
+		ended, whole bool
+	}{
+		{"a stated length", head + "Content-Length: 4\r\n\r\n{\n}\n", true, true},
+		{"half of a stated length", head + "Content-Length: 9\r\n\r\n{\n}\n", false, false},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{\n\r\n2\r\n}\n\r\n0\r\n\r\n", true, true},
+		{"chunks that break off", head + "Transfer-Encoding: chunked\r\n\r\n4\r\n{\n}\n\r\n", false, false},
+		{"until the end", head + "\r\n{\n}\n", false, true},
+		{"half a head", head, false, false},
+	} {
+		var s Stream
+		if err := s.Feed([]byte(c.text)); err != nil || s.Ended() != c.ended || s.Closed() != c.whole {
+			t.Errorf("%s: ended %v, whole %v, error %v", c.name, s.Ended(), s.Closed(), err)
+		}
+		if body := string(s.Body()); c.whole && body != "{\n}\n" {
+			t.Errorf("%s: %q", c.name, body)
+		}
+	}
+}
+
 func TestParseCatalog(t *testing.T) {
 	c, err := ParseCatalog([]byte(`{"revision":41,"complete":true,"new":1,"members":[{"id":"s-1","host_port":"127.0.0.1:1",` +
 		`"locality":"a","flavor":"m2","cell":3,"phase":"DRAINING","size":1.5,"up_since_ms":12}]}`))
