Bad clients get ERR or a close in two seconds, and keep no usual client out

Cause: take (driver.go) charged two descriptors on accept, hello (conn.go) waited 5 s for a line and 5 min after a PING, and those being refused were 16 at one time, after which accepting stopped. Ruled out: CPU (0.05 s in the worst second) and memory (7 of 64 MB).

A client now takes one descriptor until its line is parsed; such clients are an eighth of all, and the one that has had its turn for longest is closed for the one that comes. d, names, ids and bytes are checked before a host hears of a client. A probe by test showed that a second client with an open id that left at once dropped the first one's request in the loop (evGone by id alone): events carry their connection now.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -34,7 +35,6 @@
 type conn struct {
 	d      *Driver
 	client *net.TCPConn
-	within bool // counted in the budget; else it is to be refused
 	open   wire.Opening
 	id     brain.RequestID
 
@@ -49,6 +49,12 @@
 	running  int                // its number
 	host     *net.TCPConn       // set when up
 	aborted  bool
+	spoke    bool // the client said more than its first line before it was up
+
+	early   *list.Element // its place among those that hold one descriptor; the driver's mu guards it
+	since   time.Time     // when it came, or had its answer; likewise
+	charged bool          // it holds the descriptor of a host too; likewise
+	met     atomic.Bool   // it was read from: what it had said by then is known
 
 	moving   atomic.Bool
 	leftFIN  atomic.Bool // the client ended its side
@@ -70,7 +76,7 @@
 
 func (c *conn) Send(a node.Attempt)        { c.tell(command{send: &a}) }
 func (c *conn) Refuse(after time.Duration) { c.tell(command{reply: wire.Busy(after)}) }
-func (c *conn) Fail()                      { c.tell(command{reply: wire.Fail}) }
+func (c *conn) Fail()                      { c.tell(command{reply: wire.Err}) }
 
 func (c *conn) Go(_ int, ok bool) {
 	select {
@@ -130,7 +136,10 @@
 	}
 	until := time.Now().Add(c.open.Wait)
 	c.id = brain.RequestID(c.open.ID)
-	if !c.within {
+	switch within, still := c.d.admit(c); {
+	case !still:
+		return
+	case !within:
 		c.d.log.Info("a client is refused: the sockets are used up")
 		c.finish(wire.Busy(min(time.Second, c.d.cfg.MaxRetryAfter)))
 		return
@@ -154,12 +163,14 @@
 }
 
 // hello reads the first line; false when there is nothing more to do. A half line or one that is no
-// OPEN ends with an answer or the end of the connection, never with a client that waits for ever.
+// OPEN ends with an answer or the end of the connection, never with a client that waits for ever. The time for it
+// runs from the start, whatever comes meanwhile: one that trickles would hold its descriptor as long as it likes.
 func (c *conn) hello(in *wire.Inbox) bool {
-	_ = c.client.SetReadDeadline(time.Now().Add(firstLine))
-	for {
+	_ = c.client.SetReadDeadline(c.since.Add(firstLine))
+	for pings := 0; ; {
 		line, ok, err := in.Next()
 		if err == nil && !ok {
+			c.met.Store(true)
 			n, err := c.client.Read(in.Space())
 			if in.Fed(n); n == 0 && err != nil {
 				return false
@@ -172,11 +183,21 @@
 		}
 		switch {
 		case err != nil:
-			c.d.log.Info("a client's first line can't be read", zap.Error(err))
-			c.finish(wire.Fail)
+		case kind == wire.HelloPing:
+			if pings++; pings > mostPings {
+				err = errors.New("too many PINGs")
+			}
+		case !c.d.node.Knows(&c.open):
+			err = errors.New("a class or a tenant that the settings lack")
+		case len(in.Rest()) > 0 && !c.open.Mid:
+			err = errSpoke
+		}
+		switch {
+		case err != nil:
+			c.d.log.Info("a client's first line can't be served", zap.Error(err))
+			c.finish(wire.Err)
 			return false
 		case kind == wire.HelloPing:
-			_ = c.client.SetReadDeadline(time.Now().Add(idlePing))
 			if _, err := io.WriteString(c.client, wire.Pong); err != nil {
 				return false
 			}
@@ -193,6 +214,7 @@
 // drive waits for the loop's word, makes the attempts and, once up, copies to the client.
 func (c *conn) drive(until time.Time) {
 	final := false     // the client has had its answer, or has left
+	said := false      // it has had its answer from here
 	taken, out := 0, 0 // sends taken from the loop, and how many of them owe an outcome
 	defer func() {
 		p := recover()
@@ -209,13 +231,19 @@
 			c.mu.Unlock()
 		}
 		if !final || p != nil {
-			c.d.node.Gone(c.id, taken)
+			c.d.node.Gone(c.id, c, taken)
 		}
 		if out > 0 {
-			c.d.node.Settled(c.id, taken-1, 0, brain.Reset)
+			c.d.node.Settled(c.id, c, taken-1, 0, brain.Reset)
 		}
-		if !final {
-			c.finish(wire.Fail)
+		c.mu.Lock()
+		spoke := c.spoke
+		c.mu.Unlock()
+		if spoke && !said {
+			c.d.log.Info("a client's first line can't be served", zap.Error(errSpoke))
+		}
+		if !final || spoke && !said {
+			c.finish(wire.Err)
 		}
 	}()
 	if c.open.At != "" {
@@ -229,7 +257,7 @@
 		select {
 		case <-c.gone:
 			final = true
-			c.d.node.Gone(c.id, taken)
+			c.d.node.Gone(c.id, c, taken)
 			return
 		case <-backstop.C:
 			// The module answers in time; this is for what it never heard of, or what failed on the way.
@@ -237,7 +265,7 @@
 			return
 		case cmd := <-c.cmds:
 			if cmd.send == nil {
-				final = true
+				final, said = true, true
 				c.finish(cmd.reply)
 				return
 			}
@@ -266,7 +294,7 @@
 	if failed == nil {
 		c.d.log.Debug("a connection is up", zap.String("request", c.open.ID), zap.String("host", a.Addr),
 			zap.Duration("took", took))
-		c.d.node.Opened(c.id, a.N, took)
+		c.d.node.Opened(c.id, c, a.N, took)
 		c.relay(host, &in, upLine, a.N, start)
 		return true
 	}
@@ -276,10 +304,10 @@
 	select {
 	case <-c.gone: // first, so that the module tries no other host for a client that has left
 		final = true
-		c.d.node.Gone(c.id, a.N+1)
+		c.d.node.Gone(c.id, c, a.N+1)
 	default:
 	}
-	c.d.node.Settled(c.id, a.N, took, failed.Outcome())
+	c.d.node.Settled(c.id, c, a.N, took, failed.Outcome())
 	return final
 }
 
@@ -308,7 +336,7 @@
 	default:
 	}
 	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, func() error {
-		c.d.node.Connected(c.id, a.N)
+		c.d.node.Connected(c.id, c, a.N)
 		select {
 		case ok := <-c.verdict:
 			if !ok {
@@ -350,10 +378,15 @@
 func (c *conn) resume(taken, out *int) bool {
 	by := time.Now().Add(resumeFor)
 	for time.Now().Before(by) {
-		addr := c.d.node.Addr(brain.ServerID(c.open.At))
+		addr, ok := c.d.node.Resume(&c.open, c)
+		if !ok {
+			c.d.log.Info("a connection's id is held already")
+			return false
+		}
 		if addr == "" && c.pause() {
 			continue // the list may yet name it
 		} else if addr == "" {
+			c.d.node.Gone(c.id, c, 0)
 			return true
 		}
 		var in wire.Inbox
@@ -368,6 +401,7 @@
 		if failed == nil {
 			if !c.raise(host) {
 				_ = host.Close()
+				c.d.node.Gone(c.id, c, 0)
 				return true
 			}
 			*taken, *out = 1, 1
@@ -382,6 +416,7 @@
 			break
 		}
 		if !c.pause() {
+			c.d.node.Gone(c.id, c, 0)
 			return true
 		}
 	}
@@ -406,14 +441,16 @@
 	c.linger()
 }
 
-// linger ends the node's side and waits for the client's end.
+// linger ends the node's side and waits for the client's end, but reads no flood.
 func (c *conn) linger() {
+	c.d.dismiss(c)
 	_ = c.client.CloseWrite()
 	_ = c.client.SetReadDeadline(time.Now().Add(lingerFor))
 	buf := wire.GetBuffer()
 	defer buf.Free()
-	for {
-		if _, err := c.client.Read(buf[:]); err != nil {
+	for read := 0; read < mostLinger; {
+		n, err := c.client.Read(buf[:])
+		if read += n; err != nil {
 			return
 		}
 	}
@@ -434,7 +471,7 @@
 			}
 		}
 		if seen.Load > 0 {
-			c.d.node.Load(c.id, seen.Load)
+			c.d.node.Load(c.id, c, seen.Load)
 		}
 		if len(chunk) > 0 {
 			_, err = c.client.Write(chunk)
@@ -469,7 +506,7 @@
 	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
 		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
 		zap.Error(err))
-	c.d.node.Settled(c.id, attempt, time.Since(start), outcome)
+	c.d.node.Settled(c.id, c, attempt, time.Since(start), outcome)
 	switch {
 	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
 		c.stopReading()
@@ -489,15 +526,26 @@
 	_ = c.client.SetReadDeadline(past)
 }
 
+// errSpoke says that a client said more than its first line, for which it is to wait for the answer. Where it is not
+// one that packets pass through for, it does not speak the protocol: what it wants may be hundreds of things.
+var errSpoke = errors.New("it does not wait for the answer")
+
 // upward reads the client: before the connection is up to learn that it leaves, then to pass its lines
-// on. What comes early waits in the buffer.
+// on. What comes early of a connection that is mid-flow waits in the buffer.
 func (c *conn) upward(in *wire.Inbox) {
 	for {
 		if early := in.Rest(); len(early) > 0 {
 			select {
 			case <-c.up:
-			case <-c.ended:
-				return
+			default:
+				if !c.open.Mid && c.misspoke() {
+					return
+				}
+				select {
+				case <-c.up:
+				case <-c.ended:
+					return
+				}
 			}
 			c.waiting.CompareAndSwap(0, nanos(time.Now()))
 			if _, err := c.host.Write(early); err != nil {
@@ -515,6 +563,21 @@
 	}
 }
 
+// misspoke gives up a client that does not wait for its answer; false where it has come up just now.
+func (c *conn) misspoke() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host != nil {
+		return false
+	}
+	c.spoke = true
+	c.leave()
+	if c.withdraw != nil {
+		c.withdraw()
+	}
+	return true
+}
+
 // leave closes gone once; mu is held.
 func (c *conn) leave() {
 	select {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -3,6 +3,7 @@
 package driver
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -28,18 +29,22 @@
 	Reports        bool          // hosts tell their load when probed
 }
 
-// Descriptors of the budget: a client's connection takes two, its own and its host's. What the
-// process itself, discovery and probes need is kept free, and so is room to refuse clients politely.
+// Descriptors of the budget: a client's connection takes two, its own and its host's, from when it has said what it
+// wants. Before that, and once it has had its last word, it takes one and can be closed for one that comes. What the
+// process itself, discovery and probes need is kept free, and so is room to hear clients and refuse them politely.
 const (
-	perClient = 2
-	ownNeed   = 40 // standard streams, poller, listener, watch, probes and pings
-	refusals  = 16 // clients that are being refused at one time
+	perClient  = 2
+	ownNeed    = 40 // standard streams, poller, listener, one just accepted, watches, probes and pings
+	leastHeard = 16 // clients that can always be heard or refused at one time
+	heardPart  = 8  // the part of all descriptors, one in so many, that such clients may hold
 )
 
 const (
-	firstLine   = 5 * time.Second // a connection that says nothing whole for so long is closed
-	idlePing    = 5 * time.Minute // one that has said PING may stay longer
+	firstLine   = 2 * time.Second       // a connection that has said nothing whole by then is closed
+	turn        = 20 * time.Millisecond // a client that says nothing for so long may be closed for another one
+	mostPings   = 4                     // of one connection: nodes are asked once whether they are ready
 	lingerFor   = 500 * time.Millisecond
+	mostLinger  = 64 << 10              // bytes that are read of a client after its last word
 	acceptPause = 20 * time.Millisecond // after an accept that failed, as at the descriptor limit
 )
 
@@ -51,8 +56,8 @@
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
-	used    int // clients within the budget
-	refused int // clients being refused
+	used    int        // clients that hold two descriptors
+	early   *list.List // of *conn: those that hold one, the one that has had its turn for longest first
 	closed  bool
 	pingers map[brain.ServerID]*pinger
 	wg      sync.WaitGroup
@@ -60,7 +65,7 @@
 
 // New makes a driver. Attach must follow before Serve.
 func New(cfg Config, log *zap.Logger) *Driver {
-	return &Driver{cfg: cfg, log: log, conns: map[*conn]struct{}{}, pingers: map[brain.ServerID]*pinger{}}
+	return &Driver{cfg: cfg, log: log, early: list.New(), conns: map[*conn]struct{}{}, pingers: map[brain.ServerID]*pinger{}}
 }
 
 // Attach names the node that decides.
@@ -69,15 +74,7 @@
 // Serve accepts clients until the listener is closed. A failing accept pauses it and never ends it.
 func (d *Driver) Serve(l *net.TCPListener) error {
 	for {
-		if d.packed() {
-			// Whoever comes now waits in the listener's queue for the moment that a refusal takes: ending the
-			// connection without an answer would lose a request.
-			d.log.Info("no descriptor is left even to refuse clients: they wait")
-			for d.packed() {
-				time.Sleep(acceptPause)
-			}
-		}
-		c, err := l.AcceptTCP()
+		client, err := l.AcceptTCP()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -86,20 +83,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		d.take(c)
+		_ = client.SetNoDelay(true)
+		for !d.take(client) {
+			// All who are heard have come just now. Whoever comes waits in the listener's queue for their turn to end.
+			time.Sleep(turn / 4)
+		}
 	}
 }
 
-// room reports whether one more client is within the budget; mu is held.
-func (d *Driver) room() bool { return (d.used+1)*perClient+ownNeed+refusals <= d.cfg.Sockets }
-
-// packed reports whether a client could not even be refused.
-func (d *Driver) packed() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.closed && !d.room() && d.refused >= refusals
-}
-
 // begin counts a goroutine; false once the driver has ended.
 func (d *Driver) begin() bool {
 	d.mu.Lock()
@@ -110,39 +101,96 @@
 	return !d.closed
 }
 
-// take gives an accepted client its goroutine, within the budget or to be refused.
-func (d *Driver) take(client *net.TCPConn) {
-	_ = client.SetNoDelay(true)
-	c := &conn{d: d, client: client, cmds: make(chan command, 8), verdict: make(chan bool, 1),
-		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
+// heard is how many clients may hold one descriptor; mu is held.
+func (d *Driver) heard() int {
+	return min(max(d.cfg.Sockets/heardPart, leastHeard), d.cfg.Sockets-ownNeed-d.used*perClient)
+}
+
+// take gives an accepted client its goroutine, and closes one that says nothing where there is no room else; false
+// where there is none and all have come just now.
+func (d *Driver) take(client *net.TCPConn) bool {
+	now := time.Now()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.closed {
-		d.mu.Unlock()
 		reset(client)
-		return
+		return true
 	}
-	if c.within = d.room(); c.within {
-		d.used++
-	} else {
-		d.refused++
+	if d.early.Len() >= d.heard() {
+		first := d.early.Front().Value.(*conn)
+		if now.Sub(first.since) < turn || !first.met.Load() {
+			return false
+		}
+		d.shed(first)
 	}
+	c := &conn{d: d, client: client, cmds: make(chan command, 8), verdict: make(chan bool, 1), since: now,
+		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
+	c.early = d.early.PushBack(c)
 	d.conns[c] = struct{}{}
 	d.wg.Add(1)
-	d.mu.Unlock()
 	go func() {
 		defer d.wg.Done()
 		defer func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			delete(d.conns, c)
-			if c.within {
-				d.used--
-			} else {
-				d.refused--
-			}
+			d.release(c)
 		}()
 		c.serve()
 	}()
+	return true
+}
+
+// shed closes a client that holds one descriptor; mu is held.
+func (d *Driver) shed(c *conn) {
+	d.log.Info("a client is closed to make room for another one")
+	d.release(c)
+	_ = c.client.Close()
+}
+
+// release takes a client out of the budget; mu is held.
+func (d *Driver) release(c *conn) {
+	if c.early != nil {
+		d.early.Remove(c.early)
+		c.early = nil
+	}
+	if c.charged {
+		d.used--
+		c.charged = false
+	}
+}
+
+// admit counts a client that has said what it wants with two descriptors. It is not within where they are used up:
+// then it is to be refused. It is not there any more where it was closed for another one.
+func (d *Driver) admit(c *conn) (within, still bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.early == nil {
+		return false, false
+	}
+	if (d.used+1)*perClient+ownNeed+leastHeard > d.cfg.Sockets {
+		c.since = time.Now()
+		d.early.MoveToBack(c.early)
+		return false, true
+	}
+	d.release(c)
+	d.used++
+	c.charged = true
+	for d.early.Len() > max(d.heard(), 0) {
+		d.shed(d.early.Front().Value.(*conn))
+	}
+	return true, true
+}
+
+// dismiss notes that a client has had its last word, and no host is held for it any more.
+func (d *Driver) dismiss(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if was := c.early != nil; was || c.charged {
+		d.release(c)
+		c.since = time.Now()
+		c.early = d.early.PushBack(c)
+	}
 }
 
 // Abort resets all connections, as the end of the process would, and waits for their goroutines.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -145,7 +145,7 @@
 }
 
 // logger writes lines to standard error. Of one message only the first few of a second and then every
-// hundredth get through: trouble comes in thousands, and the log must not become trouble of its own.
+// thousandth get through: trouble comes in thousands, and the log must not become trouble of its own.
 func logger(name string) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
@@ -154,5 +154,5 @@
 		level = zap.DebugLevel
 	}
 	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), level)
-	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 20, 100)).With(zap.String("node", name))
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 5, 1000)).With(zap.String("node", name))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,7 @@
 	Go(attempt int, ok bool)    // answers Connected: the line may be written, or no more
 	Cancel(attempt int)         // withdraw an attempt that has brought no answer
 	Refuse(after time.Duration) // final answer BUSY
-	Fail()                      // final answer FAIL
+	Fail()                      // final answer ERR
 	Move()                      // send the client away between two lines
 	Pulse(now time.Time) Pulse  // how its messages fare
 }
@@ -120,7 +120,7 @@
 	evProbed
 	evPinged
 	evMoveAll
-	evAddr
+	evResume
 )
 
 type event struct {
@@ -135,7 +135,7 @@
 	until   time.Time
 	list    *wire.Catalog
 	call    uint64
-	reply   chan string
+	reply   chan place
 	text    string
 }
 
@@ -185,25 +185,28 @@
 	n.post(event{kind: evArrive, id: brain.RequestID(o.ID), opening: o, until: until, port: p})
 }
 
-// Inherit tells of a connection that stood at its host before the run and is up there again.
+// Whatever a connection tells of its request, it tells with its own port: the id is the client's to choose, and a
+// second client with the id of an open request must not speak for the first.
+
+// Inherit tells of a connection that stood at its host before the run and is up there again; Resume came before.
 func (n *Node) Inherit(o *wire.Opening, p Port) {
 	n.post(event{kind: evInherit, id: brain.RequestID(o.ID), opening: o, port: p})
 }
 
 // Connected asks whether an attempt whose connection has come up may still be written.
-func (n *Node) Connected(id brain.RequestID, attempt int) {
-	n.post(event{kind: evConnected, id: id, attempt: attempt})
+func (n *Node) Connected(id brain.RequestID, p Port, attempt int) {
+	n.post(event{kind: evConnected, id: id, port: p, attempt: attempt})
 }
 
 // Opened tells that a host has taken the connection.
-func (n *Node) Opened(id brain.RequestID, attempt int, took time.Duration) {
-	n.post(event{kind: evOpened, id: id, attempt: attempt, took: took})
+func (n *Node) Opened(id brain.RequestID, p Port, attempt int, took time.Duration) {
+	n.post(event{kind: evOpened, id: id, port: p, attempt: attempt, took: took})
 }
 
 // Settled tells how an attempt ended; its connection must be closed by then.
-func (n *Node) Settled(id brain.RequestID, attempt int, took time.Duration, outcome brain.Outcome) {
+func (n *Node) Settled(id brain.RequestID, p Port, attempt int, took time.Duration, outcome brain.Outcome) {
 	e := settledEvent(id, attempt, outcome)
-	e.took = took
+	e.took, e.port = took, p
 	n.post(e)
 }
 
@@ -212,28 +215,43 @@
 }
 
 // Load tells a connection's load.
-func (n *Node) Load(id brain.RequestID, load float64) {
-	n.post(event{kind: evLoad, id: id, load: load})
+func (n *Node) Load(id brain.RequestID, p Port, load float64) {
+	n.post(event{kind: evLoad, id: id, port: p, load: load})
 }
 
 // Gone tells that nothing more is owed to a client, and how many sends its connection has taken: a later one
 // is on its way to no one, and is settled here.
-func (n *Node) Gone(id brain.RequestID, taken int) {
-	n.post(event{kind: evGone, id: id, attempt: taken})
+func (n *Node) Gone(id brain.RequestID, p Port, taken int) {
+	n.post(event{kind: evGone, id: id, port: p, attempt: taken})
+}
+
+// place is where a connection stands that stood before the run.
+type place struct {
+	addr string // "" where that is not known yet
+	ok   bool   // it may be taken up
 }
 
-// Addr asks where a host is, "" where that is not known.
-func (n *Node) Addr(id brain.ServerID) string {
-	reply := make(chan string, 1)
-	n.post(event{kind: evAddr, id: brain.RequestID(id), reply: reply})
+// Resume takes in a connection that stood at its host before the run and asks where that is, "" where that is not
+// known yet; false where its id is held already, or the loop has ended. Inherit or Gone must follow.
+func (n *Node) Resume(o *wire.Opening, p Port) (addr string, ok bool) {
+	reply := make(chan place, 1)
+	n.post(event{kind: evResume, id: brain.RequestID(o.ID), opening: o, port: p, reply: reply})
 	select {
-	case addr := <-reply:
-		return addr
+	case at := <-reply:
+		return at.addr, at.ok
 	case <-n.done:
-		return ""
+		return "", false
 	}
 }
 
+// Knows reports whether the settings have the class and the tenant that a client names. It may be asked from
+// anywhere: the names never change.
+func (n *Node) Knows(o *wire.Opening) bool {
+	_, class := n.classes[o.Class]
+	_, tenant := n.tenants[o.Tenant]
+	return class && (tenant || len(n.tenants) == 0)
+}
+
 // Listed hands over news that a call to discovery brought.
 func (n *Node) Listed(call uint64, c *wire.Catalog) {
 	n.post(event{kind: evList, call: call, list: c})
@@ -308,18 +326,31 @@
 // take handles one event.
 func (n *Node) take(e event) {
 	r := n.reqs[e.id]
+	if r != nil && e.port != nil && r.port != e.port && e.kind != evArrive && e.kind != evResume {
+		r = nil // the request belongs to another connection, which must not feel it
+	}
 	switch e.kind {
 	case evArrive:
 		n.arrive(e, r)
-	case evInherit:
+	case evResume:
 		if r == nil {
+			r = &request{port: e.port, answered: true}
+			n.reqs[e.id] = r
+		}
+		at := place{ok: r.port == e.port}
+		if m := n.members[brain.ServerID(e.opening.At)]; m != nil {
+			at.addr = m.addr
+		}
+		e.reply <- at // has room
+	case evInherit:
+		if r != nil && !r.up {
 			a := n.arrival(e.opening, 0)
 			id := brain.ServerID(e.opening.At)
 			m := n.members[id]
 			if m == nil { // a host that the list has forgotten still has its clients
 				m = &member{id: id, state: brain.Gone}
 			}
-			n.reqs[e.id] = &request{port: e.port, on: m, attempts: 1, out: true, up: true, answered: true}
+			r.on, r.attempts, r.out, r.up = m, 1, true, true
 			n.open.Add(1)
 			n.decide(brain.Inherited{Arrival: a, Server: id})
 		}
@@ -381,12 +412,6 @@
 		if m := n.members[brain.ServerID(e.id)]; m != nil {
 			n.pinged(m, e.took)
 		}
-	case evAddr:
-		addr := ""
-		if m := n.members[brain.ServerID(e.id)]; m != nil {
-			addr = m.addr
-		}
-		e.reply <- addr // has room
 	case evMoveAll:
 		n.moveBy = e.until
 	}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Opening is a client's first line.
@@ -23,8 +24,10 @@
 	from, to int    // where the value of d stands in line; both 0 where there is none
 }
 
-// maxWait bounds what a client can ask for: the longest that a request is held in memory.
-const maxWait = 10 * time.Minute
+const (
+	maxWait = 10 * time.Minute // bounds what a client can ask for: the longest that a request is held in memory
+	maxName = 256              // bytes of an id or a key
+)
 
 // Hello is what a client's first line can be.
 type Hello uint8
@@ -35,8 +38,12 @@
 	HelloOpen
 )
 
-// ParseHello reads the first line of a client. The line may be used again afterwards.
+// ParseHello reads the first line of a client. The line may be used again afterwards. What a host could not use is
+// an error here: a host that has to turn it away would look as if it failed.
 func ParseHello(line []byte) (Hello, Opening, error) {
+	if !plain(line) {
+		return 0, Opening{}, errors.New("bytes that are no text")
+	}
 	if string(line) == "PING" {
 		return HelloPing, Opening{}, nil
 	}
@@ -47,19 +54,45 @@
 	return HelloOpen, o, err
 }
 
+// plain reports whether a line is text without control bytes.
+func plain(line []byte) bool {
+	for _, b := range line {
+		if b < ' ' || b == 0x7f {
+			return false
+		}
+	}
+	return utf8.Valid(line)
+}
+
+// figure reads a plain decimal number: no sign, no exponent, nothing that stands for a number.
+func figure(value string) (float64, error) {
+	if value == "" || strings.Trim(value, ".0123456789") != "" || value[0] == '.' {
+		return 0, errors.New("no plain number")
+	}
+	return strconv.ParseFloat(value, 64)
+}
+
 func parseOpening(line string) (Opening, error) {
 	o := Opening{line: line}
 	words := strings.SplitN(line, " ", 4)
 	if len(words) < 3 || words[1] == "" || words[2] == "" {
 		return o, errors.New("OPEN needs an id and a key")
 	}
+	if len(words[1]) > maxName || len(words[2]) > maxName {
+		return o, errors.New("an id or a key that is too long")
+	}
 	o.ID, o.Key = words[1], words[2]
 	if len(words) < 4 {
 		return o, nil
 	}
 	at := len(line) - len(words[3])
+	given := map[string]bool{}
 	for pair := range strings.SplitSeq(words[3], ",") {
 		name, value, _ := strings.Cut(pair, "=")
+		if given[name] {
+			return o, fmt.Errorf("field %q is given twice", name)
+		}
+		given[name] = true
 		var err error
 		switch name {
 		case "c":
@@ -70,13 +103,13 @@
 			o.Group = value
 		case "d":
 			var ms float64
-			if ms, err = strconv.ParseFloat(value, 64); err == nil && !(ms >= 0 && ms <= float64(maxWait.Milliseconds())) {
+			if ms, err = figure(value); err == nil && !(ms > 0 && ms <= float64(maxWait.Milliseconds())) {
 				err = errors.New("out of range")
 			}
 			o.Wait = time.Duration(math.Round(ms*1000)) * time.Microsecond
 			o.from, o.to = at+len("d="), at+len(pair)
 		case "h":
-			if o.Load, err = strconv.ParseFloat(value, 64); err == nil && !(o.Load >= 0 && o.Load < math.MaxFloat64) {
+			if o.Load, err = figure(value); err == nil && !(o.Load < math.MaxFloat64) {
 				err = errors.New("out of range")
 			}
 		case "r":
@@ -113,7 +146,7 @@
 // The lines that a node says of its own.
 const (
 	Pong = "PONG\r\n"
-	Fail = "FAIL\r\n"
+	Err  = "ERR\r\n"
 	Move = "MOVE\r\n"
 )
 
