A node that stops where packets pass through lets connections go on to the last

Cause: drain (lifecycle/run.go) ended 0.6 s after SIGTERM, and Abort (driver.go) then reset both sides by the node's own hand, three seconds before its peer was back.

Now connections go on until 0.2 s before the kill and are left to the end of the process.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -126,6 +126,13 @@
 	reset(c.client)
 }
 
+// isUp reports whether a host holds the connection.
+func (c *conn) isUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.host != nil
+}
+
 // serve is the life of the connection.
 func (c *conn) serve() {
 	defer c.client.Close()
@@ -293,7 +300,8 @@
 	}
 	if failed == nil {
 		c.d.log.Debug("a connection is up", zap.String("request", c.open.ID), zap.String("host", a.Addr),
-			zap.Duration("took", took))
+			zap.Duration("took", took), zap.Bool("mid", c.open.Mid), zap.Bool("again", c.open.Again),
+			zap.String("key", c.open.Key), zap.String("group", c.open.Group), zap.Int("attempt", a.N))
 		c.d.node.Opened(c.id, c, a.N, took)
 		c.relay(host, &in, upLine, a.N, start)
 		return true
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -60,7 +60,8 @@
 	early   *list.List // of *conn: those that hold one, the one that has had its turn for longest first
 	closed  bool
 	pingers map[brain.ServerID]*pinger
-	wg      sync.WaitGroup
+	wg      sync.WaitGroup // of probes and pingers
+	clients sync.WaitGroup
 }
 
 // New makes a driver. Attach must follow before Serve.
@@ -127,9 +128,9 @@
 		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
 	c.early = d.early.PushBack(c)
 	d.conns[c] = struct{}{}
-	d.wg.Add(1)
+	d.clients.Add(1)
 	go func() {
-		defer d.wg.Done()
+		defer d.clients.Done()
 		defer func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -193,12 +194,16 @@
 	}
 }
 
-// Abort resets all connections, as the end of the process would, and waits for their goroutines.
-func (d *Driver) Abort() {
+// End ends what the driver has open, and waits for it. Where packets pass through, connections that are up are left
+// for the end of the process: a node that breaks them itself breaks them for good, and all their clients set up anew
+// at once, while those of a process that ends are found again by way of other nodes.
+func (d *Driver) End(pass bool) {
 	d.mu.Lock()
 	d.closed = true
 	for c := range d.conns {
-		c.abort()
+		if !pass || !c.isUp() {
+			c.abort()
+		}
 	}
 	for id, p := range d.pingers {
 		delete(d.pingers, id)
@@ -206,6 +211,9 @@
 	}
 	d.mu.Unlock()
 	d.wg.Wait()
+	if !pass {
+		d.clients.Wait()
+	}
 }
 
 // Probe examines a host on a connection of its own.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -83,7 +83,7 @@
 		case <-ctx.Done():
 		}
 		_ = l.Close()
-		d.Abort()
+		d.End(cfg.Settings.Pass)
 		cancel()
 		return nil
 	})
@@ -115,9 +115,10 @@
 	}
 }
 
-// drain goes on serving until the front has noticed and nothing is owed. Where packets pass through,
-// what is open then goes on by way of other nodes; elsewhere every client is sent away, spread over the
-// time there is so that the others don't get them all at once.
+// drain goes on serving until the front has noticed and nothing is owed or open, or the time is up. Where packets
+// pass through, what is open goes on here for as long as that, and then by way of other nodes, one of which may just
+// have come back; elsewhere every client is sent away, spread over the time there is so that the others don't get
+// them all at once.
 func drain(n *node.Node, set brain.Settings) {
 	start := time.Now()
 	longest := time.Duration(0)
@@ -129,7 +130,7 @@
 	if !set.Pass {
 		n.MoveAll(by.Add(-4 * early))
 	}
-	for time.Now().Before(by) && (n.Owed() > 0 || !set.Pass && n.Open() > 0) {
+	for time.Now().Before(by) && n.Owed()+n.Open() > 0 {
 		time.Sleep(poll)
 	}
 }
@@ -149,10 +150,12 @@
 func logger(name string) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	level := zap.InfoLevel
-	if os.Getenv("PROXY_DEBUG") != "" {
-		level = zap.DebugLevel
+	to := func(level zapcore.Level) zapcore.Core {
+		return zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), level)
 	}
-	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), level)
+	if os.Getenv("PROXY_DEBUG") != "" { // to follow each connection, none may be left out
+		return zap.New(to(zap.DebugLevel)).With(zap.String("node", name))
+	}
+	core := to(zap.InfoLevel)
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 5, 1000)).With(zap.String("node", name))
 }
