Clients of a silent host are moved after a second, confirmed a tick later, not after four

In the logs of all connections no message of a sound host waited over 0.7 ms for its answer, so a second is long. A node that stood still itself must not move everyone: a message has to wait still at the next tick.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -56,6 +56,8 @@
 	charged bool          // it holds the descriptor of a host too; likewise
 	met     atomic.Bool   // it was read from: what it had said by then is known
 
+	longest time.Duration // that a message waited for its answer; the relay's own
+
 	moving   atomic.Bool
 	leftFIN  atomic.Bool // the client ended its side
 	leftRST  atomic.Bool // the client broke
@@ -474,7 +476,9 @@
 		chunk, seen := r.Whole()
 		if seen.Lines > 0 {
 			if since := c.waiting.Swap(0); since != 0 {
-				c.took.Store(nanos(time.Now()) - since)
+				took := nanos(time.Now()) - since
+				c.took.Store(took)
+				c.longest = max(c.longest, time.Duration(took))
 				c.answered.Add(1)
 			}
 		}
@@ -513,6 +517,7 @@
 	}
 	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
 		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
+		zap.Duration("longest answer", c.longest),
 		zap.Error(err))
 	c.d.node.Settled(c.id, c, attempt, time.Since(start), outcome)
 	switch {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -92,10 +92,11 @@
 const (
 	tickEvery = 250 * time.Millisecond
 	noteEvery = 4 // ticks: the simulator tells of slow messages once a second
-	// silence is how long a message may wait for anything from its host. Clients send one every two seconds,
-	// so a host was last heard of up to two seconds before: four more leave room within the seven that the
-	// protocol allows, counted from either.
-	silence = 4 * time.Second
+	// silence is how long a message may wait for anything from its host, and still at the next tick: a node that
+	// itself stood still has taken in by then what the host had said. Hosts answer lines at once, however much is
+	// piled up there, so most of the protocol's seven seconds would be lost to the client, counted from a message
+	// that may itself come two seconds after the host fell silent.
+	silence = 750 * time.Millisecond
 )
 
 // pulse looks after what stands: hosts that have gone silent, clients that are to leave, and, once a
@@ -117,7 +118,9 @@
 			continue
 		}
 		p := r.port.Pulse(now)
-		if p.Waiting > silence {
+		if was := r.silent; p.Waiting <= silence {
+			r.silent = false
+		} else if r.silent = true; was {
 			n.log.Info("a host says nothing: its client is moved", zap.String("host", string(r.on.id)),
 				zap.Duration("silent", p.Waiting))
 			n.move(r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 	up       bool
 	answered bool   // has had its final answer
 	leaving  bool   // told to move
+	silent   bool   // a message of it waited too long when last looked at
 	told     uint64 // messages of it that were counted
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -346,14 +346,26 @@
 	return p
 }
 
-// A host that is cut off says nothing and breaks nothing; its clients must be sent away before the
+// A host that is cut off says nothing and breaks nothing; its clients must be sent away, and long before the
 // seven seconds are over.
 func TestSilentHostsClientsAreMovedOnce(t *testing.T) {
 	n, _, logs := held(t, entry("s1", wire.Serving))
+	n.slowFrom = 0 // slow messages are not what this is about
 	p, q := up(t, n, "r"), up(t, n, "q")
 	p.pulse = Pulse{Waiting: silence + time.Millisecond}
 	q.pulse = Pulse{Waiting: silence - time.Millisecond}
 	n.pulse(time.Now())
+	if strings.Contains(p.heard(), "move") {
+		t.Error("moved at the first sign, which a node that stood still itself sees at every host")
+	}
+	p.pulse = Pulse{}
+	n.pulse(time.Now())
+	p.pulse = Pulse{Waiting: silence + time.Millisecond}
+	n.pulse(time.Now())
+	if strings.Contains(p.heard(), "move") {
+		t.Error("moved though the host had answered in between")
+	}
+	n.pulse(time.Now())
 	n.pulse(time.Now())
 	if strings.Count(p.heard(), "move") != 1 || strings.Contains(q.heard(), "move") || logs.FilterMessageSnippet("says nothing").Len() != 1 {
 		t.Errorf("silent: %s; well: %s", p.heard(), q.heard())
