--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	ejectable = 0.5  // the share of the fleet that suspicion may shut out: more is no server's fault
-	headroom  = 0.85 // the part of what a server can do that a cut aims at
+	ejectable  = 0.5  // the share of the fleet that suspicion may shut out: more is no server's fault
+	headroom   = 0.85 // the part of what a server can do that a cut aims at
 	room       = 0.75 // the load that a report may show for one more: it is late, and other nodes send meanwhile
 	fair       = 1.2  // the multiple of its part of the load that a server near lateness may keep
 	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
