What piles up at a slow host is reckoned each second, not in the first alone

Cause: pinged (node/members.go) told the pile with the first slow ping only; from then on message times stood still, so slow (brain/fleet.go) cut by its headroom alone, a seventh. Ruled out: silence and lost pings (answers within 0.5 ms, pings once a second), the limit (nothing placed over it).

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -25,7 +25,8 @@
 	slow   bool            // the last note was over the bound
 	rest   bool            // no ping this second: one every other will do while it is well
 	best   time.Duration   // the shortest ping so far, 0 for none
-	doubt  time.Duration   // what a slow ping told that another is to confirm, 0 for none
+	doubt  time.Duration   // a slow ping that another is to confirm, 0 for none
+	pile   time.Duration   // what is reckoned to be piled up there
 }
 
 const (
@@ -54,7 +55,7 @@
 			n.members[id] = m
 		}
 		if m.addr = e.Addr; m.since != e.UpSince { // a host that has restarted is not what it was
-			m.since, m.best, m.doubt = e.UpSince, 0, 0
+			m.since, m.best, m.doubt, m.pile = e.UpSince, 0, 0, 0
 		}
 		m.tell(states[e.Phase], now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
@@ -198,10 +199,15 @@
 // best. A ping is a piece of work like a message, of a size that the node can't know; what both show is how
 // much slower than its best a host is. So a host is told as slow from a third over its best on, and is at the
 // half of the aim, from which on the module acts, at twice. From there on, were it half used at its best, it is
-// asked more than it can do, and what is asked beyond that piles up; the first note says by how much in a second,
-// as the module cuts by how fast messages grow late. Without that a host at a ninth of its pace kept most of
-// its clients until it broke them all.
-const pingIsWell = 1.0 / 4
+// asked more than it can do, and what is asked beyond that piles up, second by second, until it is asked less: a ping
+// beside the queue does not show the pile, and the module cuts by how fast messages grow late. Without it a host at
+// a ninth of its pace kept most of its clients until it broke them all, and one at 2.5 times its best shed one a
+// second while more came.
+const (
+	pingIsWell = 1.0 / 4
+	pingSlow   = time.Second     // between two pings of a slow host
+	mostPile   = 4 * time.Second // more is not reckoned: it would be remembered long after the pile is gone
+)
 
 // pinged takes in what a ping took. A slow one of a host that was well is confirmed by another at once: one
 // that met a hiccup of this machine is no news of the host.
@@ -213,23 +219,27 @@
 	if m.best == 0 || took < m.best {
 		m.best = took
 	}
-	message := took - m.best    // the way there and back is no part of it: zones may lie far apart
+	confirmed := m.doubt > 0
+	if confirmed {
+		took, m.doubt = min(took, m.doubt), 0
+	}
+	message := took - m.best // the way there and back is no part of it: zones may lie far apart
+	slower := 1.0
 	if message > n.slowFrom/8 { // less is jitter
-		slower := float64(took) / float64(m.best)
+		slower = float64(took) / float64(m.best)
 		message = max(message, time.Duration(slower*pingIsWell*float64(3*n.slowFrom)))
-		if slower > 2 && !m.slow { // what has piled up since a second ago, which a ping beside the queue does not show
-			message += time.Duration((slower/2 - 1) * float64(time.Second))
-		}
 	}
-	switch {
-	case m.doubt > 0:
-		message, m.doubt = min(message, m.doubt), 0
-	case message > n.slowFrom && !m.slow:
-		m.doubt = message
+	if message > n.slowFrom && !m.slow && !confirmed {
+		m.doubt = took
 		n.ping(m, time.Now())
 		return
 	}
-	n.note(m, message)
+	if message <= n.slowFrom {
+		m.pile = 0
+	} else {
+		m.pile = min(max(m.pile+time.Duration((slower/2-1)*float64(pingSlow)), 0), mostPile)
+	}
+	n.note(m, message+m.pile)
 }
 
 // note tells the module what a message takes at a host where that is slow, and once more when it is well.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -516,6 +516,23 @@
 	}
 }
 
+// A host that stays at 2.5 times its best is asked more than it can do each second anew: shedding a seventh of the
+// rest a second would let it stay so, and it gives up a third.
+func TestAHostThatStaysSlowPilesUpMoreEachSecond(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	up(t, n, "r")
+	n.pulse(time.Now())
+	m := n.members["s1"]
+	m.some = "r"
+	for i, c := range []struct{ took, pile time.Duration }{{4, 0}, {10, 0}, {10, 250}, {10, 500}, {10, 750}, {7, 625}, {4, 0}} {
+		n.pinged(m, c.took*time.Millisecond)
+		if m.pile != c.pile*time.Millisecond {
+			t.Errorf("ping %d: %v piled up, want %v", i, m.pile, c.pile*time.Millisecond)
+		}
+	}
+}
+
 func TestMoveAllSpreadsOverTheTime(t *testing.T) {
 	n, _, _ := held(t, entry("s1", wire.Serving))
 	var ports []*port
