A node that has just started paces set-ups by what came so far, not by no rate at all

Cause: usual (brain/brain.go) goes by a mean that starts at 0 and takes in at most one more a second, so a node paced in its first seconds let one through in 1 to 19 s. Ruled out: the hosts, whose set-ups took 30 to 60 ms then.

Within ten seconds of the start the mean so far counts too.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,8 +16,7 @@
 
 const (
 	groupReach = 4 // how many servers past its places a group may newly stand on in a short fleet
-	// A server is skipped, as the design has it, over skipFactor times the mean and from skipFloor own
-	// connections on.
+	// A server is skipped, as in the design, over skipFactor times the mean and from skipFloor connections on.
 	skipFactor, skipFloor = 1.5, 2
 
 	mostAsks   = 4    // servers that a request asks for a report: each takes a trip there and back
@@ -52,7 +51,7 @@
 func (b *Brain) Handle(now time.Duration, ev Event) []Action {
 	b.now, b.out = now, b.out[:0]
 	if !b.sweeping {
-		b.sweeping, b.secondAt = true, now
+		b.sweeping, b.secondAt, b.born = true, now, now
 		b.askNotBy = now + b.jitter(b.set.AskWithin/20)
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
@@ -188,9 +187,14 @@
 	b.gap, b.cutAt = min(max(b.gap*3/2, b.usual()/4), b.usual()), b.now
 }
 
-// usual is the time between connections as they usually come, that in which a limit grows back at the most.
+// usual is the time between connections as they usually come. A node that has just started knows no rate yet:
+// without its mean so far, all who come to it at once would wait for seconds.
 func (b *Brain) usual() time.Duration {
-	return time.Duration(float64(time.Second) / max(b.rate, 1/b.recover.Seconds()))
+	rate := max(b.rate, 1/b.recover.Seconds())
+	if age := (b.now - b.born).Seconds(); age*rateSmooth < 1 {
+		rate = max(rate, b.total/max(age, 1))
+	}
+	return time.Duration(float64(time.Second) / rate)
 }
 
 func (b *Brain) send(r *request, left time.Duration) {
@@ -395,7 +399,7 @@
 func (b *Brain) opened(e Opened) {
 	if r, a := b.running(e.ID, e.Attempt); r != nil && r.conn == nil {
 		r.conn = a.to
-		b.placed++
+		b.placed, b.total = b.placed+1, b.total+1
 		b.shared(r, a, e.Took)
 		b.well(r.conn)
 	}
@@ -433,8 +437,7 @@
 	}
 }
 
-// relieve moves connections off a server until it is within its limit, those with the least worth for their
-// load first.
+// relieve moves connections off a server until it is within its limit, least worth for their load first.
 func (b *Brain) relieve(s *server, over float64) {
 	var on []*request
 	for _, r := range b.reqs {
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// A node that has just started is met by all clients of one that ended. When their set-ups are slow it spaces them by
+// the rate at which they come: without a rate of its own it let one through in seconds.
+func TestANodeThatHasJustStartedPacesByWhatCame(t *testing.T) {
+	b := started(t, testSettings(), 4)
+	for i := range 30 {
+		id := RequestID(fmt.Sprint("r", i))
+		b.Handle(0, Arrival{ID: id, Key: fmt.Sprint(i), Left: 2 * time.Second})
+		b.Handle(ms, Opened{ID: id, Took: 600 * ms})
+	}
+	if b.gap <= 0 || b.gap > time.Second/10 { // it was set when the twelfth had come
+		t.Errorf("%v between sends after thirty in the first second", b.gap)
+	}
+	b.now = time.Minute
+	if usual := b.usual(); usual != b.recover {
+		t.Errorf("a minute later, with nobody come since, one in %v is usual, want %v", usual, b.recover)
+	}
+}
+
 // When the whole fleet is short, taking everyone serves no one: what does not fit is refused at once,
 // the classes of least worth for their load first.
 func TestShortFleetRefusesAtOnceLeastWorthFirst(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -58,7 +58,8 @@
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
-	secondAt                   time.Duration // when the second that runs began
+	secondAt, born             time.Duration // when the second that runs began, and the first one
+	total                      float64       // set-ups since
 }
 
 // server is what this node knows of one listed server, all of it from its own traffic and its list.
--- a/brain/table.go
+++ b/brain/table.go
@@ -135,8 +135,7 @@
 // fillCount is ceil((floor(entries/nodes)/3)*2).
 func fillCount(entries, nodes int) int { return (entries/max(nodes, 1)*2 + 2) / 3 }
 
-// progress ends drains and fills whose grace has passed; fills end sooner where this node has no connection
-// left.
+// progress ends drains and fills whose grace has passed, and fills sooner where no connection is left here.
 func (t *table) progress(now, grace time.Duration, idle bool) {
 	if !t.changing {
 		return
