Half as much of a ping counts as jitter, so that a crowd at a fast host is noticed

In the log a ping of 7.0 ms and the next of 4.7 against a best of 2.7 left the host as well: a gap under slowFrom/8, 2.1 ms, was jitter (pinged, node/members.go). Ruled out: set-ups (20 to 60 ms), silence, refused or failed attempts (none).

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -225,7 +225,7 @@
 	}
 	message := took - m.best // the way there and back is no part of it: zones may lie far apart
 	slower := 1.0
-	if message > n.slowFrom/8 { // less is jitter
+	if message > n.slowFrom/16 { // less is jitter of the way there and back
 		slower = float64(took) / float64(m.best)
 		message = max(message, time.Duration(slower*pingIsWell*float64(3*n.slowFrom)))
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -516,6 +516,23 @@
 	}
 }
 
+// What passes for jitter must not hide a crowd at a fast host, whose pings are short at twice and more of their best.
+func TestACrowdAtAFastHostIsNoJitter(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	up(t, n, "r")
+	m := n.members["s1"]
+	m.some = "r"
+	for _, c := range []struct {
+		micros time.Duration
+		slow   bool
+	}{{1000, false}, {2100, false}, {2500, false}, {2500, true}, {2100, false}} {
+		if n.pinged(m, c.micros*time.Microsecond); m.slow != c.slow {
+			t.Errorf("after %v: slow %v", c.micros*time.Microsecond, m.slow)
+		}
+	}
+}
+
 // A host that stays at 2.5 times its best is asked more than it can do each second anew: shedding a seventh of the
 // rest a second would let it stay so, and it gives up a third.
 func TestAHostThatStaysSlowPilesUpMoreEachSecond(t *testing.T) {
