--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"onyxstream/internal/stand"
+	"onyxstream/internal/stand/capacity"
+	"onyxstream/internal/wire"
 )
 
 // The tests here build the program, start it, and speak to it over sockets, with a few hosts and a
@@ -41,100 +44,40 @@
 // long is how long the tests wait for what must come; none of them measures time.
 const long = 20 * time.Second
 
-// host is a fake host. Each connection's first line goes to opened; answer says what to reply, "" for
-// nothing. After an UP it echoes lines, and obeys those that begin with DO.
+// host is a stand-in host that answers by script: UP unless told otherwise. After an UP it echoes lines, and obeys
+// those that begin with DO.
 type host struct {
-	id, addr string
-	l        net.Listener
-	mu       sync.Mutex
-	answer   func(line string) string
-	opened   []string
-	conns    map[*net.TCPConn]bool
+	*stand.Host
+	id     string
+	mu     sync.Mutex
+	reply  string
+	opened []string
 }
 
+var clock = stand.NewClock()
+
 func newHost(t *testing.T, id string) *host {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	h := &host{id: id, reply: "UP from-" + id + "\r\n"}
+	var err error
+	h.Host, err = stand.NewHost(stand.HostConfig{ID: id, Zone: "a", Spec: capacity.Spec{Cores: 1, Speed: 1}, Obeys: true}, clock, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &host{id: id, addr: l.Addr().String(), l: l, conns: map[*net.TCPConn]bool{}}
-	h.answer = func(string) string { return "UP from-" + id + "\r\n" }
-	t.Cleanup(func() { h.kill() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c.(*net.TCPConn))
-		}
-	}()
-	return h
-}
-
-func (h *host) serve(c *net.TCPConn) {
-	h.mu.Lock()
-	h.conns[c] = true
-	h.mu.Unlock()
-	defer func() {
+	t.Cleanup(h.Close)
+	h.Says(func(line string) string {
 		h.mu.Lock()
-		delete(h.conns, c)
-		h.mu.Unlock()
-		_ = c.Close()
-	}()
-	r := bufio.NewReader(c)
-	line, err := r.ReadString('\n')
-	if err != nil {
-		return
-	}
-	h.mu.Lock()
-	h.opened = append(h.opened, strings.TrimSpace(line))
-	reply := h.answer(line)
-	h.mu.Unlock()
-	_, _ = io.WriteString(c, reply)
-	if reply != "" && !strings.HasPrefix(reply, "UP ") {
-		return
-	}
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return
-		}
-		switch strings.TrimSpace(line) {
-		case "DO bye":
-			_, _ = io.WriteString(c, "BYE\r\n")
-			return
-		case "DO move":
-			_, _ = io.WriteString(c, "MOVE\r\n")
-			return
-		case "DO reset":
-			_ = c.SetLinger(0)
-			return
-		case "DO flood":
-			w := bufio.NewWriter(c)
-			for i := range floodLines {
-				_, _ = w.WriteString(floodLine(i))
-			}
-			_ = w.Flush()
-		case "DO nothing":
-		case "DO half":
-			_, _ = io.WriteString(c, "half a line")
-		default:
-			_, _ = io.WriteString(c, line)
-		}
-	}
+		defer h.mu.Unlock()
+		h.opened = append(h.opened, line)
+		return h.reply
+	})
+	return h
 }
 
-// floodLines is more than the sockets between a host and its client hold.
-const floodLines = 20000
-
-func floodLine(i int) string { return fmt.Sprintf("F %d %s\r\n", i, strings.Repeat("x", i%1500)) }
-
 func (h *host) says(reply string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.answer = func(string) string { return reply }
+	h.reply = reply
 }
 
 func (h *host) lines() []string {
@@ -143,127 +86,52 @@
 	return append([]string(nil), h.opened...)
 }
 
-func (h *host) open() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.conns)
-}
+func (h *host) open() int { return h.State().Conns }
 
-func (h *host) kill() {
-	_ = h.l.Close()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for c := range h.conns {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-	}
-}
+func (h *host) kill() { h.Die() }
 
-func (h *host) member(phase string) map[string]any {
-	return map[string]any{"id": h.id, "host_port": h.addr, "locality": "a", "flavor": "m", "cell": 0, "phase": phase,
-		"size": 1.0, "up_since_ms": 0}
+func (h *host) member(phase string) wire.Member {
+	var p wire.Phase
+	if err := p.UnmarshalText([]byte(phase)); err != nil {
+		panic(err)
+	}
+	return wire.Member{ID: h.id, Addr: h.Addr(), Zone: "a", Phase: p, Size: 1}
 }
 
-// registry is a fake discovery.
+// registry is a stand-in discovery that says what a test gives it, word for word.
 type registry struct {
-	addr    string
-	mu      sync.Mutex
-	calls   []string
-	down    bool
-	mute    bool // says nothing more, not even its beat
-	watches map[chan string]bool
-	first   string // what a watch begins with
-	srv     *http.Server
+	*stand.Discovery
+	addr string
 }
 
 func newRegistry(t *testing.T, first string) *registry {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	d, err := stand.NewDiscovery("", clock, nil, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &registry{addr: l.Addr().String(), watches: map[chan string]bool{}, first: first}
-	r.srv = &http.Server{Handler: r}
-	go func() { _ = r.srv.Serve(l) }()
-	t.Cleanup(func() { _ = r.srv.Close() })
-	return r
-}
-
-func (r *registry) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	r.mu.Lock()
-	r.calls = append(r.calls, q.URL.RequestURI())
-	down, first := r.down, r.first
-	news := make(chan string, 16)
-	r.watches[news] = true
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.watches, news)
-		r.mu.Unlock()
-	}()
-	if down {
-		http.Error(w, "down", http.StatusServiceUnavailable)
-		return
-	}
-	if q.URL.Query().Get("watch") == "" {
-		_, _ = io.WriteString(w, first)
-		return
-	}
-	text := first + "\n"
-	for {
-		r.mu.Lock()
-		mute := r.mute
-		r.mu.Unlock()
-		if mute {
-			<-q.Context().Done()
-			return
-		}
-		if _, err := io.WriteString(w, text); err != nil {
-			return
-		}
-		w.(http.Flusher).Flush()
-		select {
-		case <-q.Context().Done():
-			return
-		case text = <-news:
-			if text == "" {
-				panic(http.ErrAbortHandler) // the connection breaks
-			}
-			text += "\n"
-		case <-time.After(500 * time.Millisecond):
-			text = "\n"
-		}
-	}
+	t.Cleanup(d.Close)
+	d.Raw(first)
+	return &registry{d, d.Addr()}
 }
 
-func (r *registry) tell(text string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for w := range r.watches {
-		w <- text
-	}
-}
+func (r *registry) tell(text string) { r.Tell(text) }
 
 func (r *registry) turn(down bool) {
-	r.mu.Lock()
-	r.down = down
-	r.mu.Unlock()
+	mode := stand.Well
 	if down {
-		r.tell("")
+		mode = stand.Busy
 	}
+	r.Answer(mode)
 }
 
-func (r *registry) called() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]string(nil), r.calls...)
-}
+func (r *registry) called() []string { return r.Calls() }
 
-func list(revision int, complete bool, members ...map[string]any) string {
+func list(revision int64, complete bool, members ...wire.Member) string {
 	if members == nil {
-		members = []map[string]any{}
+		members = []wire.Member{}
 	}
-	text, _ := json.Marshal(map[string]any{"revision": revision, "complete": complete, "members": members})
+	text, _ := json.Marshal(wire.Catalog{Revision: revision, Complete: complete, Members: members})
 	return string(text)
 }
 
--- a/cmd/onyxstream/main_test.go
+++ b/cmd/onyxstream/main_test.go
@@ -10,6 +10,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"onyxstream/internal/stand"
+	"onyxstream/internal/wire"
 )
 
 func TestServesAndRelays(t *testing.T) {
@@ -81,7 +84,7 @@
 func TestFailoverSendsEachAttemptOnce(t *testing.T) {
 	t.Parallel()
 	var hosts []*host
-	var members []map[string]any
+	var members []wire.Member
 	for i := range 3 {
 		h := newHost(t, fmt.Sprint("h", i))
 		hosts = append(hosts, h)
@@ -198,9 +201,7 @@
 	reg.turn(true)
 	eventually(t, "calls that fail", func() bool { return len(reg.called()) >= 3 })
 	p.open(t, "").hears("UP from-ha")
-	reg.mu.Lock()
-	reg.first = list(6, true, a.member("SERVING"), b.member("SERVING"))
-	reg.mu.Unlock()
+	reg.Raw(list(6, true, a.member("SERVING"), b.member("SERVING")))
 	reg.turn(false)
 	eventually(t, "the new host is used", func() bool {
 		return strings.Contains(p.open(t, "").hears("UP "), "from-hb")
@@ -218,9 +219,7 @@
 	reg := newRegistry(t, list(1, true, h.member("SERVING")))
 	p := start(t, options{known: list(1, true, h.member("SERVING"))}, reg.addr)
 	eventually(t, "the first watch", func() bool { return len(reg.called()) == 1 })
-	reg.mu.Lock()
-	reg.mute = true
-	reg.mu.Unlock()
+	reg.Answer(stand.Mute)
 	eventually(t, "the node asks again", func() bool { return len(reg.called()) > 1 })
 	p.open(t, "").hears("UP ")
 }
@@ -239,15 +238,15 @@
 		} else {
 			go func() {
 				w := bufio.NewWriter(k.c)
-				for i := range floodLines {
-					_, _ = w.WriteString(floodLine(i))
+				for i := range stand.FloodLines {
+					_, _ = w.WriteString(stand.FloodLine(i))
 				}
 				_ = w.Flush()
 			}()
 		}
 		time.Sleep(300 * time.Millisecond) // long enough for all buffers to fill
-		for i := range floodLines {
-			if line, err := k.r.ReadString('\n'); err != nil || line != floodLine(i) {
+		for i := range stand.FloodLines {
+			if line, err := k.r.ReadString('\n'); err != nil || line != stand.FloodLine(i) {
 				t.Fatalf("%s, line %d: %.20q, error %v", way, i, line, err)
 			}
 		}
--- a/cmd/onyxstream/reload_test.go
+++ b/cmd/onyxstream/reload_test.go
@@ -47,11 +47,7 @@
 	eventually(t, "the new list alone holds", func() bool {
 		return strings.Contains(p.open(t, "").hears("UP "), "from-hb")
 	})
-	eventually(t, "the old watch is left", func() bool {
-		old.mu.Lock()
-		defer old.mu.Unlock()
-		return len(old.watches) == 0
-	})
+	eventually(t, "the old watch is left", func() bool { return old.Watching() == 0 })
 	old.turn(true)
 	for range 10 {
 		p.open(t, "").hears("UP from-hb")
--- a/internal/stand/capacity/capacity.go
+++ b/internal/stand/capacity/capacity.go
@@ -150,7 +150,9 @@
 func (h *Host) Steal(share float64) { h.stolen = min(max(share, 0), 0.99) }
 
 // Capacity is what the host can do now, in cores of speed 1.
-func (h *Host) Capacity() float64 { return h.spec.Cores * h.spec.Speed * (1 - h.stolen) / h.slow * h.warmth() }
+func (h *Host) Capacity() float64 {
+	return h.spec.Cores * h.spec.Speed * (1 - h.stolen) / h.slow * h.warmth()
+}
 
 // warmth is the share of its capacity that a host has reached since its start.
 func (h *Host) warmth() float64 {
@@ -170,6 +172,15 @@
 // Open counts connections that are up, and set-ups under way.
 func (h *Host) Open() (up, setups int) { return len(h.byID) - len(h.queue), len(h.queue) }
 
+// IDs names all connections and set-ups, in an order that the same events make the same.
+func (h *Host) IDs() []string {
+	ids := make([]string, len(h.order))
+	for i, s := range h.order {
+		ids[i] = s.id
+	}
+	return ids
+}
+
 // Fallen reports whether the host was pushed over.
 func (h *Host) Fallen() bool { return h.fallen }
 
--- /dev/null
+++ b/internal/stand/front.go
@@ -0,0 +1,131 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Node is a node as the front knows it.
+type Node struct{ Name, Addr, Zone string }
+
+// Front deals clients among the nodes of their zone. It takes a node in once it has answered PING with PONG, and
+// notices only some time later that one has died.
+type Front struct {
+	ledger *Ledger
+	notice time.Duration
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	nodes []Node
+	in    []bool
+	dealt uint64
+}
+
+// checkEvery is how often a front asks a node whether it serves.
+const checkEvery = 50 * time.Millisecond
+
+// NewFront starts a front. A node that answers nothing for notice is out; 0 is at the first check that fails.
+func NewFront(ledger *Ledger, notice time.Duration, nodes ...Node) *Front {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Front{ledger: ledger, notice: notice, cancel: cancel, nodes: nodes, in: make([]bool, len(nodes))}
+	for i := range nodes {
+		f.wg.Go(func() { f.check(ctx, i) })
+	}
+	return f
+}
+
+// Close ends the checks.
+func (f *Front) Close() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+func (f *Front) check(ctx context.Context, i int) {
+	last := time.Time{}
+	for ctx.Err() == nil {
+		well := Ping(ctx, f.nodes[i].Addr, time.Second) == nil
+		if well {
+			last = time.Now()
+		}
+		f.mu.Lock()
+		if was := f.in[i]; well != was && (well || time.Since(last) >= f.notice) {
+			f.in[i] = well
+			what := Out
+			if well {
+				what = In
+			}
+			f.ledger.Add(Record{Who: "front", What: what, Note: f.nodes[i].Name})
+		}
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(checkEvery):
+		}
+	}
+}
+
+// Ping asks whoever listens at addr whether it serves.
+func Ping(ctx context.Context, addr string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c, "PING\r\n"); err != nil {
+		return err
+	}
+	line, err := bufio.NewReaderSize(c, 64).ReadString('\n')
+	if err != nil {
+		return err
+	}
+	if line != "PONG\r\n" {
+		return errors.New("PING was not answered by PONG")
+	}
+	return nil
+}
+
+// Pick deals one client of a zone: to the next node of it that is in, or of any zone where none is or zone is "".
+// ok is false while no node is in.
+func (f *Front) Pick(zone string) (node Node, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dealt++
+	for _, any := range []bool{false, true} {
+		for k := range f.nodes {
+			i := (int(f.dealt%uint64(len(f.nodes))) + k) % len(f.nodes)
+			if f.in[i] && (any || zone == "" || f.nodes[i].Zone == zone) {
+				return f.nodes[i], true
+			}
+		}
+	}
+	return Node{}, false
+}
+
+// Ready waits until every node is in.
+func (f *Front) Ready(ctx context.Context) error {
+	for {
+		f.mu.Lock()
+		all := true
+		for _, in := range f.in {
+			all = all && in
+		}
+		f.mu.Unlock()
+		if all {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(checkEvery / 5):
+		}
+	}
+}
--- a/internal/wire/catalog.go
+++ b/internal/wire/catalog.go
@@ -29,6 +29,16 @@
 	return nil
 }
 
+// MarshalText writes a phase as discovery does.
+func (p Phase) MarshalText() ([]byte, error) {
+	for name, known := range phases {
+		if known == p {
+			return []byte(name), nil
+		}
+	}
+	return nil, fmt.Errorf("unknown phase %d", p)
+}
+
 // Member is one entry of the list.
 type Member struct {
 	ID      string  `json:"id"`
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -129,6 +129,9 @@
 	return o, nil
 }
 
+// Line is the line as it came, without its end.
+func (o *Opening) Line() string { return o.line }
+
 // Forward writes the line for a host: as the client sent it, but that d tells how long the node
 // will wait.
 func (o *Opening) Forward(wait time.Duration) []byte {
