Open-loop load: scenarios, schedule, engine, traces; a rig of real nodes and stand-ins

Need: load that does not ease off when a node slows down, counted from when each request was meant to be sent. Change: internal/load (schedule pure of scenario and seed; engine; traces in bounded memory; results), internal/rig (nodes as processes, stand-ins, faults on a time line), internal/conf (strict TOML with line and key).

--- /dev/null
+++ b/internal/load/play.go
@@ -0,0 +1,245 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"onyxstream/internal/conf"
+	"onyxstream/internal/rig"
+	"onyxstream/internal/stand"
+)
+
+// PlayOptions are what a run needs beside its scenario.
+type PlayOptions struct {
+	Program  string    // the node's program, for a scenario with a fleet
+	Targets  []string  // addresses of nodes; with them no fleet is started
+	NodeLog  io.Writer // nil for none
+	Record   string    // the file that the requests are recorded in as a trace; "" for none
+	Ledger   io.Writer // the stand-ins' ledgers as JSON Lines; nil for none
+	Progress func(Progress)
+	Trace    string  // a trace that is replayed in place of the scenario's schedule
+	Speed    float64 // of the replay
+}
+
+// receipts are those that clients were given, to be held against the hosts' ledgers.
+type receipts struct {
+	mu   sync.Mutex
+	byID map[string]string
+}
+
+// mostReceipts bounds what is held against the ledgers.
+const mostReceipts = 1 << 20
+
+func (r *receipts) note(id, receipt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.byID) < mostReceipts {
+		r.byID[id] = receipt
+	}
+}
+
+// wrong counts receipts that no host gave for that connection.
+func (r *receipts) wrong(recs []stand.Record) (n int64) {
+	given := map[string]bool{}
+	for _, x := range recs {
+		if x.What == stand.Up {
+			given[x.ID+" "+x.Note] = true
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, receipt := range r.byID {
+		if !given[id+" "+receipt] {
+			n++
+		}
+	}
+	return n
+}
+
+// Play starts what a scenario needs, plays it, and ends that again. The result is there also with an error where the
+// run had begun.
+func Play(ctx context.Context, s *Scenario, text []byte, o PlayOptions) (res *Result, err error) {
+	cfg := Config{Scenario: s, Source: NewSchedule(s), Length: s.Length(), Progress: o.Progress}
+	if o.Trace != "" {
+		sum, err := CheckTrace(o.Trace)
+		if err != nil {
+			return nil, err
+		}
+		t, err := OpenTrace(o.Trace, o.Speed)
+		if err != nil {
+			return nil, err
+		}
+		defer t.Close()
+		if err := s.fit(sum); err != nil {
+			return nil, fmt.Errorf("%s: %w", o.Trace, err)
+		}
+		cfg.Source, cfg.Length = t, time.Duration(float64(sum.Length)/o.Speed)
+	}
+	var r *rig.Rig
+	rec := &receipts{byID: map[string]string{}}
+	switch {
+	case len(o.Targets) > 0:
+		cfg.Address = turns(o.Targets)
+	case s.Fleet == nil:
+		return nil, errors.New("the scenario has no fleet, and no target is given")
+	default:
+		if r, err = rig.Start(ctx, *s.Fleet, rig.Options{Program: o.Program, Log: o.NodeLog, Seed: s.Seed, Classes: s.classNames(),
+			Tenants: names(s.Tenants)}); err != nil {
+			return nil, err
+		}
+		defer r.Close()
+		cfg.Address, cfg.Receipt = r.Address, rec.note
+		for _, h := range r.Hosts() {
+			cfg.Hosts = append(cfg.Hosts, h.ID())
+		}
+	}
+	if o.Record != "" {
+		finish, err := recordTo(&cfg, o.Record)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { err = errors.Join(err, finish()) }()
+	}
+	var began time.Duration
+	before := rig.Usage{}
+	if r != nil {
+		cfg.Begin = func() {
+			began, before = r.Clock.Now(), r.Usage()
+			r.Play(ctx, s.Faults)
+		}
+	}
+	res, err = Run(ctx, cfg)
+	if res == nil {
+		return nil, err
+	}
+	res.Scenario, res.Trace = string(text), o.Trace
+	if o.Trace != "" {
+		res.Speed = o.Speed
+	}
+	if r != nil {
+		err = errors.Join(err, r.Failed())
+		u := r.Usage()
+		u.CPU -= before.CPU
+		res.Nodes = &u
+		recs, lost := r.Ledger.Records()
+		res.told(recs, began)
+		if lost == 0 {
+			res.Wrong = rec.wrong(recs)
+		}
+		if o.Ledger != nil {
+			err = errors.Join(err, stand.WriteRecords(o.Ledger, r.Clock, recs, lost))
+		}
+	}
+	return res, err
+}
+
+// turns deals targets in turn.
+func turns(targets []string) func(string, bool) (string, error) {
+	var mu sync.Mutex
+	n := 0
+	return func(string, bool) (string, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return targets[n%len(targets)], nil
+	}
+}
+
+// recordTo has the requests of a run written as a trace, beside the run.
+func recordTo(cfg *Config, path string) (finish func() error, err error) {
+	w, err := CreateTrace(path)
+	if err != nil {
+		return nil, err
+	}
+	rows := make(chan Request, 1<<16)
+	lost, failed := 0, error(nil)
+	var done sync.WaitGroup
+	done.Go(func() {
+		for r := range rows {
+			if failed == nil {
+				failed = w.Write(r)
+			}
+		}
+	})
+	cfg.Record = func(r Request) { // the pacer's: it must not wait for a disk
+		select {
+		case rows <- r:
+		default:
+			lost++
+		}
+	}
+	return func() error {
+		close(rows)
+		done.Wait()
+		if lost > 0 {
+			failed = errors.Join(failed, fmt.Errorf("%s: %d requests are missing: the disk was too slow", path, lost))
+		}
+		return errors.Join(failed, w.Close())
+	}, nil
+}
+
+// told takes what the stand-ins saw into the result.
+func (r *Result) told(recs []stand.Record, began time.Duration) {
+	at := map[string]int{}
+	for _, x := range recs {
+		switch {
+		case x.What == stand.Fault || x.What == stand.In || x.What == stand.Out:
+			if x.At >= began {
+				r.Marks = append(r.Marks, Mark{(x.At - began).Seconds(), x.Who, strings.TrimSpace(x.Note + map[string]string{
+					stand.In: " is dealt clients", stand.Out: " is dealt none"}[x.What])})
+			}
+		case strings.HasPrefix(x.Who, "h"):
+			i, ok := at[x.Who]
+			if !ok {
+				i = len(r.Hosts)
+				at[x.Who] = i
+				r.Hosts = append(r.Hosts, HostCount{ID: x.Who, Records: map[string]int64{}})
+			}
+			r.Hosts[i].Records[x.What]++
+		}
+	}
+}
+
+// fit gives a scenario the classes and tenants of a trace where it does not name them itself.
+func (s *Scenario) fit(t TraceSummary) error {
+	known := map[string]bool{}
+	for _, c := range s.Classes {
+		known[c.Name] = true
+	}
+	for _, c := range t.Classes {
+		if !known[c] {
+			return fmt.Errorf("class %q of the trace is not in the scenario, so its deadline is not known", c)
+		}
+	}
+	known = map[string]bool{}
+	for _, c := range s.Tenants {
+		known[c.Name] = true
+	}
+	for _, c := range t.Tenants {
+		if !known[c] {
+			s.Tenants = append(s.Tenants, Share{Name: c})
+		}
+	}
+	return nil
+}
+
+// Plain is a scenario for a trace that is replayed without one: classes of the trace with one deadline.
+func Plain(path string, deadline time.Duration) (*Scenario, error) {
+	sum, err := CheckTrace(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Scenario{Name: "replay", Seed: 1, Phases: []Phase{{For: conf.Duration(max(sum.Length, time.Millisecond))}}}
+	for _, c := range sum.Classes {
+		s.Classes = append(s.Classes, Class{Name: c, Share: 1, Deadline: conf.Duration(deadline), Life: conf.Duration(time.Minute)})
+	}
+	for _, t := range sum.Tenants {
+		s.Tenants = append(s.Tenants, Share{Name: t, Share: 1})
+	}
+	return s, s.Check()
+}
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,209 @@
+// Package rig plays a fleet on one machine: real nodes as processes of their own, and stand-ins for all they deal
+// with, with a time line of faults. It is what the load generator and experiments put load on.
+package rig
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"onyxstream/internal/conf"
+	"onyxstream/internal/stand/capacity"
+)
+
+// Fleet says what to play.
+type Fleet struct {
+	Nodes       int           `toml:"nodes"` // real nodes; 0 for hosts alone, which all requests then go to directly
+	Hosts       int           `toml:"hosts"`
+	Zones       []string      `toml:"zones"` // nodes and hosts are dealt to them in turn
+	Mode        string        `toml:"mode"`  // "pass" or "proxy", as the settings call it
+	Probes      bool          `toml:"probes"`
+	Loads       bool          `toml:"loads"` // hosts tell the load of connections
+	Links       bool          `toml:"links"` // each host is reached over a link that can fail
+	Notice      conf.Duration `toml:"notice"`
+	FrontNotice conf.Duration `toml:"front_notice"`
+	Park        conf.Duration `toml:"park"`  // how long hosts keep a connection whose node broke it
+	Cores       float64       `toml:"cores"` // of a node
+	MemoryMB    int           `toml:"memory_mb"`
+	Sockets     int           `toml:"sockets"`
+	Host        Host          `toml:"host"`
+	Store       Store         `toml:"store"`
+}
+
+// Host is what every stand-in host can do; package capacity says what the figures mean.
+type Host struct {
+	Cores  float64       `toml:"cores"`
+	Speed  float64       `toml:"speed"`
+	Uneven float64       `toml:"uneven"` // speeds are spread evenly over 1 - uneven to 1 + uneven of speed
+	Load   float64       `toml:"load"`
+	Drift  float64       `toml:"drift"`
+	Group  float64       `toml:"group"`
+	Setup  conf.Duration `toml:"setup"`
+	Lines  conf.Duration `toml:"lines"`
+	Most   int           `toml:"most"`
+	Queue  int           `toml:"queue"`
+	Cold   float64       `toml:"cold"`
+	Warm   conf.Duration `toml:"warm"`
+	Fall   float64       `toml:"fall"`
+	FallIn conf.Duration `toml:"fall_in"`
+}
+
+// Store is the session store that all hosts call with each set-up.
+type Store struct {
+	Latency conf.Duration `toml:"latency"`
+	Rate    float64       `toml:"rate"`
+}
+
+// ClassSpec is what a node's settings say of a class.
+type ClassSpec struct {
+	Name     string
+	Deadline time.Duration
+}
+
+// FaultSpec is one thing that goes wrong.
+type FaultSpec struct {
+	At   conf.Duration `toml:"at"`   // from the start of the load
+	What string        `toml:"what"` // see faultKinds
+	On   string        `toml:"on"`   // "h1", "n1", "discovery", "store", "link-h1"
+	For  conf.Duration `toml:"for"`  // when it ends; 0 for never
+	By   float64       `toml:"by"`   // a factor, a share, bytes a second
+	Over conf.Duration `toml:"over"` // drain: clients are sent away spread over this; lag, delay: the time
+}
+
+// faultKinds names what can be broken on what, and whether By and Over mean anything.
+var faultKinds = map[string]map[string]struct{ by, over bool }{
+	"host": {"hang": {}, "slow": {by: true}, "steal": {by: true}, "drain": {over: true}, "die": {}, "add": {}},
+	"node": {"kill": {}, "stop": {}, "stall": {}},
+	"discovery": {"lag": {over: true}, "freeze": {}, "busy": {}, "reset": {}, "mute": {},
+		"restart": {}},
+	"store": {"slow": {by: true}},
+	"link":  {"silence": {}, "stall": {}, "reset": {}, "delay": {over: true}, "limit": {by: true}, "deaf": {}},
+}
+
+const (
+	mostNodes = 64
+	mostHosts = 1000
+)
+
+// Check fills in defaults and says what is wrong, as a *conf.FieldError.
+func (f *Fleet) Check(classes []ClassSpec, tenants []string) error {
+	if len(f.Zones) == 0 {
+		f.Zones = []string{"a"}
+	}
+	if f.Mode == "" {
+		f.Mode = "proxy"
+	}
+	if f.Mode != "pass" && f.Mode != "proxy" {
+		return conf.Wrong("fleet.mode", `%q is neither "pass" nor "proxy"`, f.Mode)
+	}
+	for _, d := range []struct {
+		v   *float64
+		def float64
+	}{{&f.Cores, 1}, {&f.Host.Cores, 2}, {&f.Host.Speed, 1}} {
+		if *d.v == 0 {
+			*d.v = d.def
+		}
+	}
+	if f.MemoryMB == 0 {
+		f.MemoryMB = 256
+	}
+	if f.Sockets == 0 {
+		f.Sockets = 4096
+	}
+	if f.Notice == 0 {
+		f.Notice = conf.Duration(500 * time.Millisecond)
+	}
+	for _, b := range []struct {
+		name        string
+		v, from, to float64
+	}{
+		{"nodes", float64(f.Nodes), 0, mostNodes}, {"hosts", float64(f.Hosts), 1, mostHosts},
+		{"zones", float64(len(f.Zones)), 1, 100}, {"cores", f.Cores, 0.05, 64}, {"memory_mb", float64(f.MemoryMB), 16, 1 << 20},
+		{"sockets", float64(f.Sockets), 64, 1 << 20}, {"notice", f.Notice.D().Seconds(), 0, 600},
+		{"front_notice", f.FrontNotice.D().Seconds(), 0, 600}, {"park", f.Park.D().Seconds(), 0, 600},
+		{"host.uneven", f.Host.Uneven, 0, 0.99}, {"store.latency", f.Store.Latency.D().Seconds(), 0, 600},
+		{"store.rate", f.Store.Rate, 0, 1e9},
+	} {
+		if !(b.v >= b.from && b.v <= b.to) {
+			return conf.Wrong("fleet."+b.name, "%g is not between %g and %g", b.v, b.from, b.to)
+		}
+	}
+	for i, z := range f.Zones {
+		if z == "" || strings.ContainsAny(z, " ,=\"\\") {
+			return conf.Wrong("fleet.zones", "%q is no name (number %d)", z, i+1)
+		}
+	}
+	if err := f.spec(0).Check(); err != nil {
+		return conf.Wrong("fleet.host", "%w", err)
+	}
+	return nil
+}
+
+// spec is what the i-th host can do.
+func (f *Fleet) spec(i int) capacity.Spec {
+	h := f.Host
+	speed := h.Speed
+	if f.Hosts > 1 {
+		speed *= 1 - h.Uneven + 2*h.Uneven*float64(i%f.Hosts)/float64(f.Hosts-1)
+	}
+	return capacity.Spec{Cores: h.Cores, Speed: speed, Load: h.Load, Drift: h.Drift, Group: h.Group,
+		Setup: h.Setup.D().Seconds(), Lines: h.Lines.D().Seconds(), Most: h.Most, Queue: h.Queue,
+		Cold: h.Cold, Warm: h.Warm.D(), Fall: h.Fall, FallIn: h.FallIn.D()}
+}
+
+// kindOf says what a fault is on.
+func (f *Fleet) kindOf(on string) (kind string, index int, err error) {
+	if on == "discovery" || on == "store" {
+		return on, 0, nil
+	}
+	for _, k := range []struct {
+		prefix, kind string
+		most         int
+	}{{"link-h", "link", f.Hosts}, {"h", "host", mostHosts}, {"n", "node", f.Nodes}} {
+		var n int
+		if rest, ok := strings.CutPrefix(on, k.prefix); ok {
+			if _, err := fmt.Sscanf(rest, "%d", &n); err == nil && on == fmt.Sprint(k.prefix, n) && n >= 1 && n <= k.most {
+				return k.kind, n - 1, nil
+			}
+		}
+	}
+	return "", 0, fmt.Errorf("%q is neither a host h1 to h%d, a node n1 to n%d, link-h1 and so on, \"discovery\" nor \"store\"",
+		on, f.Hosts, f.Nodes)
+}
+
+// CheckFaults says what is wrong with a time line.
+func (f *Fleet) CheckFaults(faults []FaultSpec) error {
+	hosts := f.Hosts
+	for i, x := range faults {
+		at := fmt.Sprintf("fault[%d].", i)
+		kind, n, err := f.kindOf(x.On)
+		if err != nil {
+			return conf.Wrong(at+"on", "%w", err)
+		}
+		k, ok := faultKinds[kind][x.What]
+		switch {
+		case !ok:
+			return conf.Wrong(at+"what", "%q can't happen to a %s", x.What, kind)
+		case x.At < 0:
+			return conf.Wrong(at+"at", "%s is negative", x.At.D())
+		case x.For < 0:
+			return conf.Wrong(at+"for", "%s is negative", x.For.D())
+		case k.by && x.By <= 0:
+			return conf.Wrong(at+"by", "%s needs a figure above 0", x.What)
+		case x.Over < 0:
+			return conf.Wrong(at+"over", "%s is negative", x.Over.D())
+		case kind == "link" && !f.Links:
+			return conf.Wrong(at+"on", "fleet.links is off, so there is no link")
+		case x.What == "stall" && kind == "node" && x.For == 0:
+			return conf.Wrong(at+"for", "a node that stalls for ever is killed, not stalled")
+		case kind == "host" && x.What == "add":
+			if n != hosts {
+				return conf.Wrong(at+"on", "the next host to add is h%d", hosts+1)
+			}
+			hosts++
+		case kind == "host" && n >= hosts:
+			return conf.Wrong(at+"on", "there is no h%d by then", n+1)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,131 @@
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one node's, over all its starts.
+type process struct {
+	name, zone, addr, config, program string
+	log                               io.Writer
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	done  chan struct{} // closed once the present one has ended
+	told  bool          // to end
+	err   error
+	spent Usage // of those that have ended
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.program, "node")
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	// A node must not outlive who started it, however that ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("node %s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.told = cmd, done, false
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if s := cmd.ProcessState; s != nil {
+			p.spent.CPU += s.UserTime() + s.SystemTime()
+			if u, ok := s.SysUsage().(*syscall.Rusage); ok {
+				p.spent.PeakMB = max(p.spent.PeakMB, float64(u.Maxrss)/1024)
+			}
+		}
+		if !p.told {
+			p.err = fmt.Errorf("node %s ended by itself: %v", p.name, err)
+		}
+		close(done)
+	}()
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.told = true
+	}
+	_ = p.cmd.Process.Signal(s)
+}
+
+// end signals and waits, and kills what has not ended by then.
+func (p *process) end(s syscall.Signal, within time.Duration) {
+	p.signal(s)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(within):
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+}
+
+func (p *process) kill() { p.end(syscall.SIGKILL, 10*time.Second) }
+
+// ended says that a node has ended though nobody told it to.
+func (p *process) ended() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// usage is what the node has taken over all its starts.
+func (p *process) usage() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.spent
+	select {
+	case <-p.done:
+		return u
+	default:
+	}
+	proc := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	if text, err := os.ReadFile(proc + "stat"); err == nil {
+		// utime and stime are the 12th and 13th figures behind the name, which may hold anything.
+		f := bytes.Fields(text[bytes.LastIndexByte(text, ')')+1:])
+		if len(f) > 12 {
+			for _, ticks := range f[11:13] {
+				n, _ := strconv.Atoi(string(ticks))
+				u.CPU += time.Duration(n) * (time.Second / userHZ)
+			}
+		}
+	}
+	if text, err := os.ReadFile(proc + "status"); err == nil {
+		if _, rest, ok := bytes.Cut(text, []byte("VmHWM:")); ok {
+			kb, _ := strconv.Atoi(string(bytes.Fields(rest)[0]))
+			u.PeakMB = max(u.PeakMB, float64(kb)/1024)
+		}
+	}
+	if names, err := os.ReadDir(proc + "fd"); err == nil {
+		u.Most = len(names)
+	}
+	return u
+}
+
+// userHZ is what Linux counts a process's time in, whatever the kernel's own clock.
+const userHZ = 100
--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -47,7 +47,9 @@
 	return h
 }
 
-func (r *rig) count(what string) int { return r.ledger.Count(func(x Record) bool { return x.What == what }) }
+func (r *rig) count(what string) int {
+	return r.ledger.Count(func(x Record) bool { return x.What == what })
+}
 
 type peer struct {
 	t *testing.T
@@ -210,7 +212,9 @@
 
 func TestDiscoveryTellsLateInOrderAndAnewAfterARestart(t *testing.T) {
 	r := newRig(t)
-	m := func(id string, p wire.Phase) wire.Member { return wire.Member{ID: id, Addr: "127.0.0.1:1", Phase: p, Size: 1} }
+	m := func(id string, p wire.Phase) wire.Member {
+		return wire.Member{ID: id, Addr: "127.0.0.1:1", Phase: p, Size: 1}
+	}
 	d, err := NewDiscovery("", r.clock, r.ledger, 41, m("a", wire.Serving))
 	if err != nil {
 		t.Fatal(err)
