Tests of schedules and traces; a watch begins with an object also where nothing changed

Need: the schedule must be a pure function of scenario and seed, and bad files refused with line and field. Change: tests, a fuzz target for traces; the stand-in discovery's first line is an object, as the protocol says (nodes took its beat alone for a lost watch every three seconds).

--- a/internal/load/page/page.go
+++ b/internal/load/page/page.go
@@ -101,6 +101,9 @@
 	return p
 }
 
+// headroom leaves the legend's place above what is drawn.
+const headroom = 1.45
+
 // add draws a line, where there is anything to draw.
 func add(p *plot.Plot, name string, i int, dashed bool, points plotter.XYs) error {
 	if len(points) == 0 {
@@ -154,6 +157,7 @@
 			}
 		}
 	}
+	p.Y.Max *= 4
 	return p, nil
 }
 
@@ -174,7 +178,11 @@
 }
 
 func series(r *load.Result, of func(s *load.Stretch) float64) (points plotter.XYs) {
-	for i := range r.Line {
+	last := len(r.Line) // behind the last request there is nothing to show
+	for last > 0 && r.Line[last-1].Intended+r.Line[last-1].Back+r.Line[last-1].Open == 0 {
+		last--
+	}
+	for i := range last {
 		points = append(points, plotter.XY{X: r.Line[i].At, Y: of(&r.Line[i])})
 	}
 	return points
@@ -235,6 +243,7 @@
 // marks draws what happened to the fleet as upright lines.
 func marks(p *plot.Plot, r *load.Result) error {
 	top := p.Y.Max
+	p.Y.Min, p.Y.Max = 0, max(top, 1)*headroom
 	for i, m := range r.Marks {
 		if i >= mostMarks {
 			break
--- /dev/null
+++ b/internal/load/schedule_test.go
@@ -0,0 +1,213 @@
+package load
+
+import (
+	"errors"
+	"flag"
+	"io"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxstream/internal/conf"
+)
+
+// The same verdict every time: other draws are had by -rapid.seed.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+const usual = `
+name = "t"
+seed = 3
+[requests]
+arrivals = "even"
+[[phase]]
+for = "1s"
+rate = 100
+[[class]]
+name = "chat"
+deadline = "2s"
+life = "300ms"
+[[tenant]]
+name = "acme"
+`
+
+// scenario reads the usual scenario with changes, old and new in turn, and more behind it.
+func scenario(t *testing.T, more string, changes ...string) *Scenario {
+	t.Helper()
+	s := &Scenario{}
+	if err := conf.Decode("t.toml", []byte(strings.NewReplacer(changes...).Replace(usual)+more), s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func all(t *testing.T, s Source) (out []Request) {
+	t.Helper()
+	for {
+		r, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return out
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, r)
+	}
+}
+
+func TestShapesHaveTheirRates(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase string
+		want  map[[2]time.Duration]int // from and to: how many
+	}{
+		"constant": {`rate = 100`, map[[2]time.Duration]int{{0, 10 * time.Second}: 1000, {2 * time.Second, 3 * time.Second}: 100}},
+		"ramp": {"rate = 0\nto = 200\nshape = \"ramp\"", map[[2]time.Duration]int{{0, 10 * time.Second}: 1000,
+			{0, 5 * time.Second}: 250, {9 * time.Second, 10 * time.Second}: 190}},
+		"step": {"rate = 50\nto = 150\nshape = \"step\"\nsteps = 2", map[[2]time.Duration]int{{0, 5 * time.Second}: 250,
+			{5 * time.Second, 10 * time.Second}: 750}},
+		"burst": {"rate = 10\nburst = 80\nshape = \"burst\"\nwithin = \"100ms\"\nevery = \"2s\"",
+			map[[2]time.Duration]int{{0, 100 * time.Millisecond}: 81, {100 * time.Millisecond, 2 * time.Second}: 19, {0, 10 * time.Second}: 500}},
+		"onoff": {"rate = 100\nto = 20\nshape = \"onoff\"\nduty = 0.25\nevery = \"4s\"",
+			map[[2]time.Duration]int{{0, time.Second}: 100, {time.Second, 4 * time.Second}: 60, {8 * time.Second, 9 * time.Second}: 100}},
+	} {
+		got := all(t, NewSchedule(scenario(t, "", `for = "1s"`, `for = "10s"`, "rate = 100", c.phase)))
+		for span, want := range c.want {
+			n := 0
+			for _, r := range got {
+				if r.At >= span[0] && r.At < span[1] {
+					n++
+				}
+			}
+			if n < want-1 || n > want+1 {
+				t.Errorf("%s: %d requests from %v to %v, want %d", name, n, span[0], span[1], want)
+			}
+		}
+	}
+}
+
+func TestPoissonArrivalsAreSpreadAsTheirLawSays(t *testing.T) {
+	got := all(t, NewSchedule(scenario(t, "", `"even"`, `"poisson"`, `for = "1s"`, `for = "100s"`)))
+	if d := math.Abs(float64(len(got)) - 10000); d > 400 { // four standard deviations
+		t.Errorf("%d requests, want about 10000", len(got))
+	}
+	var sum, squares float64
+	for i := 1; i < len(got); i++ {
+		gap := (got[i].At - got[i-1].At).Seconds()
+		sum, squares = sum+gap, squares+gap*gap
+	}
+	mean := sum / float64(len(got)-1)
+	if cv := math.Sqrt(squares/float64(len(got)-1)-mean*mean) / mean; cv < 0.95 || cv > 1.05 {
+		t.Errorf("gaps spread by %g of their mean, want 1", cv)
+	}
+}
+
+// Whatever the scenario: times never go back or past its length, the same seed gives the same requests, and another
+// rate gives the same clients.
+func TestScheduleIsAFunctionOfScenarioAndSeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Scenario{Seed: rapid.Uint64().Draw(t, "seed"), Requests: Requests{Arrivals: rapid.SampledFrom([]string{"even", "poisson"}).Draw(t, "arrivals")},
+			Classes: []Class{{Name: "a", Share: 1, Spread: "pareto", Life: conf.Duration(time.Second), Deadline: conf.Duration(time.Second)},
+				{Name: "b", Share: 3, Life: conf.Duration(time.Second), Deadline: conf.Duration(time.Second)}},
+			Tenants: []Share{{"x", 1}}, Groups: Draw{50, 1.2}, Keys: Draw{Count: 9}}
+		for range rapid.IntRange(1, 4).Draw(t, "phases") {
+			s.Phases = append(s.Phases, Phase{Shape: rapid.SampledFrom([]string{"constant", "ramp", "step", "onoff", "burst"}).Draw(t, "shape"),
+				For: conf.Duration(rapid.Int64Range(1e6, 5e9).Draw(t, "for")), Rate: rapid.Float64Range(0, 300).Draw(t, "rate"),
+				To: rapid.Float64Range(0, 300).Draw(t, "to"), Steps: 3, Burst: 20, Within: conf.Duration(1e6), Every: conf.Duration(1e9), Duty: 0.3})
+		}
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		read := func(s *Scenario) (out []Request) {
+			for c := NewSchedule(s); ; {
+				r, err := c.Next()
+				if err != nil {
+					return out
+				}
+				out = append(out, r)
+			}
+		}
+		one := read(s)
+		if !reflect.DeepEqual(one, read(s)) {
+			t.Fatal("the same scenario gave other requests")
+		}
+		last := time.Duration(0)
+		for i, r := range one {
+			if r.At < last || r.At > s.Length() || r.N != int64(i) || r.Life < 0 {
+				t.Fatalf("request %d is %+v after %v of %v", i, r, last, s.Length())
+			}
+			last = r.At
+		}
+		for i := range s.Phases {
+			s.Phases[i].Rate *= 2
+		}
+		other := read(s)
+		for i := range min(len(one), len(other)) {
+			a, b := one[i], other[i]
+			a.At, b.At = 0, 0
+			if a != b {
+				t.Fatalf("at another rate client %d is %+v, was %+v", i, b, a)
+			}
+		}
+	})
+}
+
+func TestSharesAndWavesComeOut(t *testing.T) {
+	s := scenario(t, "[[tenant]]\nname = \"b\"\nshare = 0.25\n[[wave]]\nat = \"1s\"\nshare = 0.4\nwithin = \"2s\"\n[groups]\ncount = 100\nzipf = 1.5\n",
+		`for = "1s"`, `for = "100s"`, "name = \"acme\"", "name = \"acme\"\nshare = 0.75")
+	got := all(t, NewSchedule(s))
+	tenants, groups, dropped, back := map[string]int{}, map[string]int{}, 0, time.Duration(0)
+	for _, r := range got {
+		tenants[r.Tenant]++
+		groups[r.Group]++
+		if drops, after := s.Drops(0, r.N); drops {
+			dropped++
+			back = max(back, after)
+		}
+	}
+	n := float64(len(got))
+	if share := float64(tenants["b"]) / n; math.Abs(share-0.25) > 0.02 {
+		t.Errorf("tenant b has %g", share)
+	}
+	if share := float64(dropped) / n; math.Abs(share-0.4) > 0.02 || back > 2*time.Second || back < 1900*time.Millisecond {
+		t.Errorf("%g drop, the last is back after %v", share, back)
+	}
+	if groups["g0"] < 3*groups["g4"] || len(groups) < 50 {
+		t.Errorf("the first of %d groups has %d, the fifth %d", len(groups), groups["g0"], groups["g4"])
+	}
+}
+
+func TestWrongScenariosAreRefusedWithLineAndKey(t *testing.T) {
+	fleet := "\n[fleet]\nhosts = 2\nnodes = 1\n"
+	for _, c := range []struct{ from, to, more, want string }{
+		{"rate = 100", "rte = 100", "", "t.toml:8: phase.rte: no such key"},
+		{"rate = 100", `rate = "many"`, "", "t.toml:8"},
+		{"rate = 100", "rate = -1", "", "t.toml:8: phase[0].rate: -1 is not between"},
+		{"rate = 100", "rate = nan", "", "t.toml:8: phase[0].rate"},
+		{`for = "1s"`, `for = "soon"`, "", "t.toml:7"},
+		{`for = "1s"`, `for = "0s"`, "", "t.toml:7: phase[0].for"},
+		{`"even"`, `"odd"`, "", "t.toml:5: requests.arrivals"},
+		{`deadline = "2s"`, "", "", "t.toml:9: class[0].deadline"},
+		{`name = "chat"`, `name = "a,b"`, "", "t.toml:10: class[0].name"},
+		{"", "", "[[tenant]]\nname = \"acme\"\n", "t.toml:16: tenant[1].name: \"acme\" is given twice"},
+		{"", "", "[[wave]]\nshare = 2.0\n", "t.toml:16: wave[0].share"},
+		{"", "", "[keys]\ncount = 3\nzipf = 0.5\n", "t.toml:17: keys.zipf"},
+		{"", "", "[clients]\ncome_back = [\"2s\", \"1s\"]\n", "t.toml:16: clients.come_back"},
+		{"", "", "[[fault]]\nwhat = \"hang\"\non = \"h1\"\n", "t.toml:16: fault[0].what: a scenario without a fleet"},
+		{"", "", fleet + "mode = \"odd\"\n", "t.toml:19: fleet.mode"},
+		{"", "", fleet + "[fleet.host]\nspeed = -2.0\n", "t.toml:20: fleet.host.speed: -2"},
+		{"", "", fleet + "[[fault]]\non = \"h3\"\nwhat = \"hang\"\n", "t.toml:20: fault[0].on: there is no h3"},
+		{"", "", fleet + "[[fault]]\non = \"n2\"\nwhat = \"kill\"\n", "t.toml:20: fault[0].on"},
+		{"", "", fleet + "[[fault]]\non = \"h1\"\nwhat = \"kill\"\n", "t.toml:21: fault[0].what"},
+		{"", "", fleet + "[[fault]]\non = \"h1\"\nwhat = \"hang\"\nat = \"-1s\"\n", "t.toml:22: fault[0].at"},
+		{"", "", fleet + "[[fault]]\non = \"h1\"\nwhat = \"slow\"\n", "t.toml:19: fault[0].by"},
+		{"", "", fleet + "[[fault]]\non = \"link-h1\"\nwhat = \"stall\"\n", "t.toml:20: fault[0].on: fleet.links is off"},
+		{"[[phase]]", "[[phase", "", "t.toml:6"},
+	} {
+		err := conf.Decode("t.toml", []byte(strings.Replace(usual, c.from, c.to, 1)+c.more), &Scenario{})
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q and %q: %v, want %s", c.to, c.more, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/trace_test.go
@@ -0,0 +1,196 @@
+package load
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func reader(t *testing.T, text string, speed float64) *Trace {
+	t.Helper()
+	tr, err := newTrace("t.csv", strings.NewReader(text), speed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr
+}
+
+const head = "id,at_ms,class,tenant,life_ms\n"
+
+func TestWrongTracesAreRefusedWithLineAndField(t *testing.T) {
+	var far strings.Builder // a row that comes more than the window too late
+	for i := range traceWindow + 10 {
+		fmt.Fprintf(&far, "%d,%d,a,b,1\n", i, 1000+i)
+	}
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	_, _ = io.WriteString(z, head+far.String())
+	_ = z.Close()
+	for _, c := range []struct{ text, want string }{
+		{"", "t.csv:1: there is nothing in it"},
+		{"id,at_ms\n", "t.csv:1: class: the column is missing"},
+		{"id,at_ms,class,tenant,life_ms,colour\n", "t.csv:1: colour: no such column"},
+		{"id,id,class,tenant,life_ms\n", "t.csv:1: id: the column is there twice"},
+		{head + "1,0,a,b,5\n2,soon,a,b,5\n", `t.csv:3: at_ms: "soon" is no time`},
+		{head + "1,-4,a,b,5\n", "t.csv:2: at_ms"},
+		{head + "1,NaN,a,b,5\n", "t.csv:2: at_ms"},
+		{head + "1,0,a,b\n", "t.csv:2: 4 fields, the first line names 5"},
+		{head + "1,0,,b,5\n", "t.csv:2: class: it is missing"},
+		{head + "1,0,a b,b,5\n", `t.csv:2: class: "a b" is no name`},
+		{head + "1,0,a,b,5\n1,2,a,b,5\n", `t.csv:3: id: "1" stands in line 2 already`},
+		{head + "1,0,a,b,5\n2,1,a,b,12", "t.csv:3: the trace is cut off here: the last line has no end"},
+		{head + far.String() + "x,1,a,b,5\n", fmt.Sprintf("t.csv:%d: at_ms: it goes back", traceWindow+12)},
+		{head + "1,0,a,b," + strings.Repeat("5", 10000) + "\n", "t.csv:2: the line is longer"},
+		{head + "1,0,a,b," + strings.Repeat("5", 100000) + "\n", "t.csv:2: the line is longer"},
+		{`{"id":"1","at_ms":0,"class":"a","tenant":"b","life_ms":5,"x":1}` + "\n", "t.csv:1: x: no such field"},
+		{`{"id":"1","at_ms":[],"class":"a","tenant":"b","life_ms":5}` + "\n", "t.csv:1: at_ms"},
+		{`{"id":` + "\n", "t.csv:1: no object of JSON"},
+		{string(packed.Bytes()[:packed.Len()/2]), "cut off here: unexpected EOF"},
+		{"\x1f\x8b\x00", "t.csv:1: the trace is cut off here"},
+	} {
+		tr, err := newTrace("t.csv", strings.NewReader(c.text), 1)
+		for err == nil {
+			_, err = tr.Next()
+		}
+		var where *TraceError
+		if !errors.As(err, &where) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%.60q: %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+// Rows that are a little out of order are put right; forms are alike; the speed keeps order and spacing.
+func TestReplayKeepsOrderAndSpacing(t *testing.T) {
+	rows := all(t, reader(t, head+"a,30,x,t,5\nb,0,x,t,6\nc,30,y,t,7\nd,15,x,t,8\n", 1))
+	text := ""
+	for _, r := range rows {
+		text += fmt.Sprint(r.At, " ", r.Key, "; ")
+	}
+	if text != "0s kb; 15ms kd; 30ms ka; 30ms kc; " {
+		t.Errorf("read as %s", text)
+	}
+	lines := `{"id":"b","at_ms":0,"class":"x","tenant":"t","life_ms":6}
+{"id":"d","at_ms":"15","class":"x","tenant":"t","life_ms":8}
+`
+	if got := all(t, reader(t, lines, 1)); len(got) != 2 || got[1] != rows[1] {
+		t.Errorf("as JSON Lines %+v", got)
+	}
+	for i, r := range all(t, reader(t, head+"a,30,x,t,5\nb,0,x,t,6\nc,30,y,t,7\nd,15,x,t,8\n", 3)) {
+		if r.At != rows[i].At/3 || r.Life != rows[i].Life || r.Key != rows[i].Key {
+			t.Errorf("at three times the speed %+v, was %+v", r, rows[i])
+		}
+	}
+}
+
+// endless is a trace of n rows that is never in memory whole.
+type endless struct {
+	n, at int
+	rest  []byte
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	for len(e.rest) == 0 {
+		if e.at == e.n {
+			return 0, io.EOF
+		}
+		e.rest = fmt.Appendf(nil, "%d,%d,a,b,5\n", e.at, e.at)
+		if e.at == 0 {
+			e.rest = append([]byte(head), e.rest...)
+		}
+		e.at++
+	}
+	n := copy(p, e.rest)
+	e.rest = e.rest[n:]
+	return n, nil
+}
+
+func TestALongTraceIsReadInBoundedMemory(t *testing.T) {
+	tr, err := newTrace("long.csv", &endless{n: 300_000}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for ; ; n++ {
+		if _, err := tr.Next(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if len(tr.rows) > traceWindow || len(tr.ids) > traceWindow+1 {
+			t.Fatalf("%d rows and %d ids are held", len(tr.rows), len(tr.ids))
+		}
+	}
+	if n != 300_000 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestWhatIsWrittenIsReadAgain(t *testing.T) {
+	s := scenario(t, "[groups]\ncount = 5\n[[zone]]\nname = \"z\"\n", "life = \"300ms\"", "life = \"300ms\"\nload = 1.5\nmessage = \"20ms\"")
+	want := all(t, NewSchedule(s))
+	for _, name := range []string{"t.csv", "t.csv.gz"} {
+		path := filepath.Join(t.TempDir(), name)
+		w, err := CreateTrace(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range want {
+			if err := w.Write(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		tr, err := OpenTrace(path, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := all(t, tr)
+		_ = tr.Close()
+		for i := range want {
+			if d := got[i].At - want[i].At; d > time.Microsecond || d < -time.Microsecond {
+				t.Fatalf("row %d is at %v, was %v", i, got[i].At, want[i].At)
+			}
+			got[i].At, got[i].Life = want[i].At, want[i].Life
+			if got[i] != want[i] {
+				t.Fatalf("row %d is %+v, was %+v", i, got[i], want[i])
+			}
+		}
+		if sum, err := CheckTrace(path); err != nil || sum.Rows != int64(len(want)) || len(sum.Classes) != 1 {
+			t.Errorf("checked as %+v, error %v", sum, err)
+		}
+	}
+	if _, err := OpenTrace(filepath.Join(t.TempDir(), "none"), 1); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
+
+func FuzzTrace(f *testing.F) {
+	f.Add([]byte(head + "1,0,a,b,5\n2,1.5,a,b,5\n"))
+	f.Add([]byte(`{"id":"1","at_ms":0,"class":"a","tenant":"b","life_ms":5}` + "\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		tr, err := newTrace("f", bytes.NewReader(text), 2)
+		if err != nil {
+			return
+		}
+		last := time.Duration(0)
+		for range 10000 {
+			r, err := tr.Next()
+			if err != nil {
+				return
+			}
+			if r.At < last || r.Life < 0 || r.Class == "" {
+				t.Fatalf("%+v after %v", r, last)
+			}
+			last = r.At
+		}
+	})
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -133,8 +133,8 @@
 			return conf.Wrong("fleet.zones", "%q is no name (number %d)", z, i+1)
 		}
 	}
-	if err := f.spec(0).Check(); err != nil {
-		return conf.Wrong("fleet.host", "%w", err)
+	if field, err := f.spec(0).Check(); err != nil {
+		return conf.Wrong("fleet.host."+field, "%w", err)
 	}
 	return nil
 }
--- a/internal/stand/capacity/capacity.go
+++ b/internal/stand/capacity/capacity.go
@@ -28,8 +28,8 @@
 	FallIn time.Duration // ... for so long falls over; 0 for one that never does
 }
 
-// Check says what a Spec can't mean; the field is named.
-func (s Spec) Check() error {
+// Check says what a Spec can't mean, and names the field; err is nil where all is well.
+func (s Spec) Check() (field string, err error) {
 	for _, f := range []struct {
 		name        string
 		v, from, to float64
@@ -40,10 +40,10 @@
 		{"warm", s.Warm.Seconds(), 0, 86400}, {"fall", s.Fall, 0, 1e6}, {"fall_in", s.FallIn.Seconds(), 0, 86400},
 	} {
 		if !(f.v >= f.from && f.v <= f.to) {
-			return fmt.Errorf("%s: %g is not between %g and %g", f.name, f.v, f.from, f.to)
+			return f.name, fmt.Errorf("%g is not between %g and %g", f.v, f.from, f.to)
 		}
 	}
-	return nil
+	return "", nil
 }
 
 // Store is the session store that set-ups call: one queue for all hosts that share it, at a rate of its own.
--- a/internal/stand/discovery.go
+++ b/internal/stand/discovery.go
@@ -336,8 +336,10 @@
 				return
 			}
 			after, whole = c.Revision, false
-		case first: // the beat shows that it stands
-			_, _ = io.WriteString(w, "\n")
+		case first: // a watch begins with an object, also where nothing has changed
+			if !d.write(w, wire.Catalog{Revision: after, Members: []wire.Member{}}) {
+				return
+			}
 		}
 		first = false
 		w.(http.Flusher).Flush()
--- a/internal/stand/host.go
+++ b/internal/stand/host.go
@@ -84,8 +84,8 @@
 
 // NewHost starts a host. Records go to the ledger; nil keeps none.
 func NewHost(cfg HostConfig, clock *Clock, ledger *Ledger) (*Host, error) {
-	if err := cfg.Spec.Check(); err != nil {
-		return nil, fmt.Errorf("host %s: %w", cfg.ID, err)
+	if field, err := cfg.Spec.Check(); err != nil {
+		return nil, fmt.Errorf("host %s: %s: %w", cfg.ID, field, err)
 	}
 	if cfg.Listen == "" {
 		cfg.Listen = "127.0.0.1:0"
--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -246,6 +246,9 @@
 		}
 	}
 	w, _ := ask("?watch=1&after=41")
+	if c, _ := next(w); c.Revision != 41 || c.Complete || len(c.Members) != 0 {
+		t.Errorf("a watch on which nothing has changed begins with %+v", c)
+	}
 	d.Lag(150 * time.Millisecond)
 	set := r.clock.Now()
 	d.Set(m("a", wire.Draining))
@@ -256,7 +259,7 @@
 		t.Errorf("told %v after the change, want 150 ms at least", now-set)
 	}
 	for c.Revision < 43 {
-		if c.Complete || c.Members[0].Phase != wire.Draining {
+		if c.Complete || len(c.Members) == 0 || c.Members[0].Phase != wire.Draining {
 			t.Errorf("told %+v", c)
 		}
 		c, _ = next(w)
