--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -53,6 +53,7 @@
 	fl.StringVar(&f.hdr, "hdr", "", "file for HdrHistogram's text form of the latencies of served requests")
 	fl.StringVar(&f.ledger, "ledger", "", "file for what the stand-ins saw, as JSON Lines")
 	fl.StringVar(&f.log, "node-log", "", "file for the nodes' logs")
+	fl.StringVar(&f.trace, "record", "", "file for the requests as a trace; .gz is compressed")
 	fl.Uint64Var(&f.seed, "seed", 0, "seed of the load in place of the scenario's")
 	fl.IntVar(&f.repeat, "repeat", 1, "how many times to run; results are numbered")
 	fl.BoolVar(&f.json, "json", false, "print the result as JSON in place of a table")
@@ -74,11 +75,10 @@
 			if err != nil {
 				return err
 			}
-			return f.play(c, s, text, load.PlayOptions{Record: f.trace})
+			return f.play(c, s, text, load.PlayOptions{})
 		},
 	}
 	f.add(c)
-	c.Flags().StringVar(&f.trace, "record", "", "file for the requests as a trace; .gz is compressed")
 	return c
 }
 
@@ -133,7 +133,7 @@
 	if o.Program, err = os.Executable(); err != nil {
 		return err
 	}
-	o.Targets = f.targets
+	o.Targets, o.Record = f.targets, f.trace
 	for _, file := range []struct {
 		path string
 		into *io.Writer
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -130,7 +130,7 @@
 	}
 	d := net.Dialer{Deadline: ends, KeepAlive: -1}
 	if len(e.sources) > 0 {
-		d.LocalAddr = e.sources[e.dialled.Load()%uint64(len(e.sources))]
+		d.LocalAddr, d.Control = e.sources[e.dialled.Load()%uint64(len(e.sources))], portLate
 	}
 	c, err := d.DialContext(e.dials, "tcp", addr)
 	switch {
@@ -186,6 +186,14 @@
 	return a
 }
 
+// portLate has a bound socket take its port when it connects: one that is taken before must be free for every peer.
+func portLate(_, _ string, c syscall.RawConn) error {
+	const bindAddressNoPort = 24 // IP_BIND_ADDRESS_NO_PORT of Linux
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_IP, bindAddressNoPort, 1) // without it ports run out sooner
+	})
+}
+
 // readSize is all the memory that a standing connection's lines get: the longest that a client looks into.
 const readSize = 256
 
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -49,6 +49,7 @@
 	classes     map[string]time.Duration // deadlines
 	wg          sync.WaitGroup
 	open        atomic.Int64 // connections held or being opened
+	fired       atomic.Int64
 	dialled     atomic.Uint64
 	stop        chan struct{}   // closed when those who stand are to end
 	dials       context.Context // ends with the run
@@ -177,6 +178,7 @@
 		e.cfg.Record(r)
 	}
 	path := pathOf(&r)
+	e.fired.Add(1) // here, not in its goroutine: the run must not end before that has begun
 	if e.open.Load() >= int64(e.s.Limits.Open) {
 		e.stats.began(&r, path, e.now()-r.At)
 		e.unsent(&r, path, fmt.Errorf("%d connections are open, as many as limits.open allows", e.s.Limits.Open))
@@ -223,6 +225,7 @@
 				}
 				r.At = e.now()
 				answered := make(chan struct{})
+				e.fired.Add(1)
 				e.open.Add(1)
 				e.wg.Go(func() {
 					defer e.open.Add(-1)
@@ -242,7 +245,7 @@
 	end := time.Now().Add(e.s.Limits.Linger.D())
 	for ctx.Err() == nil {
 		e.stats.mu.Lock()
-		owed := e.stats.started - e.stats.ended
+		owed := e.fired.Load() - e.stats.ended
 		e.stats.mu.Unlock()
 		if owed == 0 && (time.Now().After(end) || e.open.Load() == 0) {
 			return
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"encoding/base64"
 	"fmt"
 	"sync"
 	"time"
@@ -185,7 +184,7 @@
 	s.Mean, s.P50, s.P90, s.P99, s.P999, s.Max = h.Mean()/1000, ms(p[0]), ms(p[1]), ms(p[2]), ms(p[3]), ms(p[4])
 	if whole {
 		if raw, err := h.EncodeV2(); err == nil {
-			s.Hist = base64.StdEncoding.EncodeToString(raw)
+			s.Hist = string(raw)
 		}
 	}
 	return s
@@ -198,9 +197,9 @@
 	if s.Count == 0 || s.Hist == "" {
 		return newHist(digits), nil
 	}
-	raw, err := base64.StdEncoding.DecodeString(s.Hist)
+	h, err := hdr.Decode([]byte(s.Hist))
 	if err != nil {
 		return nil, fmt.Errorf("a histogram can't be read: %w", err)
 	}
-	return hdr.Decode(raw)
+	return h, nil
 }
--- a/internal/load/trace.go
+++ b/internal/load/trace.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"strconv"
 	"strings"
@@ -293,7 +294,7 @@
 		if err != nil || !(ms >= 0 && ms <= float64(mostLength.Milliseconds())) {
 			return r, f.name, fmt.Errorf("%.40q is no time in milliseconds from 0 to a day", v)
 		}
-		*f.into = time.Duration(ms * float64(time.Millisecond))
+		*f.into = time.Duration(math.Round(ms * float64(time.Millisecond)))
 	}
 	if v := values["load"]; v != "" {
 		if r.Load, err = strconv.ParseFloat(v, 64); err != nil || !(r.Load >= 0 && r.Load <= 1000) {
