--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -139,6 +139,9 @@
 		}
 		h.Drain(over)
 		return func() error {
+			if h.State().Dead { // it died while it drained; when it is back it serves
+				return nil
+			}
 			h.Undrain()
 			r.Discovery.Set(r.member(h, wire.Serving))
 			return nil
