Managing many instances: control listener, fleet decisions, agent, keys and command line

Need: nodes are checked and drained by hand, one at a time; a lost agent must leave nothing half done, and a command issued twice must change nothing.

--- a/brain/api.go
+++ b/brain/api.go
@@ -174,6 +174,12 @@
 		From int
 		Data []byte
 	}
+	// Leave says that the node itself drains, or no more: nothing new is taken in, and what stands is sent away.
+	Leave struct {
+		On    bool
+		By    time.Duration // clock time by which all of it is to be gone
+		After time.Duration // when those who are turned away may come again
+	}
 	// ClientGone ends a request: nothing more is owed for it.
 	ClientGone struct{ ID RequestID }
 )
@@ -188,6 +194,7 @@
 func (LoadNote) event()    {}
 func (SlowNote) event()    {}
 func (PeerMessage) event() {}
+func (Leave) event()       {}
 func (ClientGone) event()  {}
 
 // Outcome is the end of an attempt or a probe.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -81,6 +81,8 @@
 		b.slow(b.reqs[e.ID], e.Message)
 	case ClientGone:
 		b.end(b.reqs[e.ID])
+	case Leave:
+		b.leave(e)
 	case Timer:
 		if e.Token == sweepToken {
 			b.sweep()
@@ -155,7 +157,9 @@
 // that would come too late for the attempt itself.
 func (b *Brain) try(r *request) {
 	left, wait := r.deadline-b.now, b.nextSend-b.now
-	if b.gap <= 0 || wait <= 0 || r.MidFlow && len(r.attempts) == 0 {
+	if b.leaving > 0 && !r.MidFlow { // of what is mid-flow the client was answered long ago
+		b.giveUp(r, b.toldOff)
+	} else if b.gap <= 0 || wait <= 0 || r.MidFlow && len(r.attempts) == 0 {
 		b.nextSend = b.now + b.gap
 		b.send(r, left)
 	} else if late := wait + b.gap*time.Duration(len(b.held)); late > left/2 {
@@ -437,21 +441,49 @@
 	}
 }
 
-// relieve moves connections off a server until it is within its limit, least worth for their load first.
-func (b *Brain) relieve(s *server, over float64) {
-	var on []*request
+// leave begins or ends the node's own drain. What waits for its turn or a report is answered at once.
+func (b *Brain) leave(e Leave) {
+	b.leaving, b.toldOff = 0, e.After
+	if e.On {
+		b.leaving = max(e.By, 1)
+		for _, r := range b.held {
+			if !r.answered && !r.MidFlow {
+				b.giveUp(r, b.toldOff)
+			}
+		}
+	}
+}
+
+// depart sends away what stands while the node drains, evenly over the time there is, least worth for its load
+// first: all at once would come down on the other nodes as a wave.
+func (b *Brain) depart() {
+	on := b.standing(nil)
+	steps := max((b.leaving-b.now)/sweepEvery, 1)
+	for _, r := range on[:(len(on)+int(steps)-1)/int(steps)] {
+		b.emit(Move{r.ID})
+		b.end(r)
+	}
+}
+
+// standing lists what stands on a server, or on all for nil, least worth for its load first.
+func (b *Brain) standing(s *server) (on []*request) {
 	for _, r := range b.reqs {
-		if r.conn == s && !r.answered {
+		if r.conn != nil && (s == nil || r.conn == s) && !r.answered {
 			on = append(on, r)
 		}
 	}
 	price := func(r *request) float64 {
-		return (r.load + b.group/float64(s.groups[r.Group])) / max(b.set.Classes[r.Class].Worth, 1e-9)
+		return (r.load + b.group/float64(r.conn.groups[r.Group])) / max(b.set.Classes[r.Class].Worth, 1e-9)
 	}
 	slices.SortFunc(on, func(x, y *request) int {
 		return cmp.Or(cmp.Compare(price(y), price(x)), cmp.Compare(x.ID, y.ID))
 	})
-	for _, r := range on {
+	return on
+}
+
+// relieve moves connections off a server until it is within its limit, least worth for their load first.
+func (b *Brain) relieve(s *server, over float64) {
+	for _, r := range b.standing(s) {
 		if over < r.load*b.rng.Float64() {
 			return
 		}
@@ -465,6 +497,9 @@
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	b.weigh()
+	if b.leaving > 0 {
+		b.depart()
+	}
 	// What was sent since the last trouble must have had the time to tell: easing sooner feeds a jam again.
 	if b.gap > 0 && b.now > b.cutAt+max(sweepEvery, 2*b.setup) {
 		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -528,3 +528,49 @@
 		t.Errorf("still paced at one in %v after ten quiet seconds", b.gap)
 	}
 }
+
+// A node that drains turns new clients away at once with when to come again, also those that wait for their turn and
+// those whose attempt fails, and sends away what stands evenly, all of it by its time and the dearest last.
+func TestANodeThatDrains(t *testing.T) {
+	s := testSettings()
+	s.Classes[1] = Class{SetupAim: 300 * ms, Deadline: 2 * time.Second, Worth: 50}
+	b, _ := crowded(t, s, 20)
+	for i := range 10 {
+		b.Handle(0, Inherited{Arrival: Arrival{ID: RequestID(fmt.Sprint("dear", i)), Class: 1, Left: time.Hour}, Server: "a"})
+	}
+	out := b.Handle(ms, Arrival{ID: "early", Left: 2 * time.Second})
+	if len(sends(out)) != 1 {
+		t.Fatal("the node did not place before it drained")
+	}
+	b.held = append(b.held, &request{Arrival: Arrival{ID: "waits"}, deadline: time.Second})
+	out = b.Handle(2*ms, Leave{On: true, By: 10 * time.Second, After: 1500 * ms})
+	if n, refused := finals(out, "waits"); n != 1 || !refused {
+		t.Error("what waits for its turn is not answered at once")
+	}
+	out = b.Handle(3*ms, Arrival{ID: "new", Left: 2 * time.Second})
+	if n, refused := finals(out, "new"); n != 1 || !refused || len(sends(out)) != 0 || out[len(out)-1].(Refuse).RetryAfter != 1500*ms {
+		t.Errorf("a new client is answered %v", out)
+	}
+	out = b.Handle(4*ms, Settled{ID: "early", Server: "a", Outcome: Full})
+	if n, _ := finals(out, "early"); n != 1 || len(sends(out)) != 0 {
+		t.Errorf("an attempt that failed is followed by %v", out)
+	}
+	if out = b.Handle(5*ms, Arrival{ID: "mid", Left: 2 * time.Second, MidFlow: true}); len(sends(out)) != 1 {
+		t.Errorf("a connection that is open already is answered %v", out)
+	}
+	b.Handle(6*ms, ClientGone{ID: "mid"})
+	var left []RequestID
+	for now := sweepEvery; now < 10*time.Second; now += sweepEvery {
+		left = append(left, moves(b.Handle(now, Timer{Token: sweepToken}))...)
+		if share, gone := float64(len(left))/50, float64(now)/float64(10*time.Second); share > gone+0.1 || share < gone-0.1 {
+			t.Fatalf("%g of all are sent away after %g of the time", share, gone)
+		}
+	}
+	if len(left) != 50 || left[49][:4] != "dear" || left[0][:4] == "dear" {
+		t.Errorf("%d of 50 were sent away, first %s, last %s", len(left), left[0], left[len(left)-1])
+	}
+	b.Handle(11*time.Second, Leave{})
+	if out = b.Handle(12*time.Second, Arrival{ID: "back", Left: 2 * time.Second}); len(sends(out)) != 1 {
+		t.Errorf("a node that drains no more answers %v", out)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -56,6 +56,8 @@
 	groups               map[string]int
 	tenants              []int // open connections of each, the last for requests of none
 
+	leaving, toldOff time.Duration // all is to be gone by leaving, 0 for none; toldOff: when others may come again
+
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
 	secondAt, born             time.Duration // when the second that runs began, and the first one
--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -208,9 +208,9 @@
 }
 
 // launch starts the program; files above 0 limits its descriptors below what its configuration says.
-func launch(t *testing.T, path string, files int) *running {
+func launch(t *testing.T, path string, files int, more ...string) *running {
 	t.Helper()
-	cmd := exec.Command(program, "node")
+	cmd := exec.Command(program, append([]string{"node"}, more...)...)
 	if files > 0 {
 		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", files, program))
 	}
--- a/cmd/onyxstream/load_test.go
+++ b/cmd/onyxstream/load_test.go
@@ -256,3 +256,57 @@
 		t.Errorf("completion: exit %d", status)
 	}
 }
+
+// Every fault there is, on one fleet, with connections that stood before: all play, and every request still has its one
+// outcome.
+func TestLoadThroughEveryFault(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`for = "2s"`, `for = "5s"`, "retries = 3", "retries = 5\nmid_flow = true").Replace(loadScenario) +
+		"[standing]\ncount = 20\n" + strings.Replace(loadFleet, "[fleet.host]", "mode = \"pass\"\nlinks = true\npark = \"2s\"\nfront_notice = \"200ms\"\n[fleet.host]", 1)
+	want := 0
+	fault := func(at int, on, what, more string) {
+		want++
+		text += fmt.Sprintf("[[fault]]\nat = \"%dms\"\non = %q\nwhat = %q\n%s\n", at, on, what, more)
+	}
+	fault(100, "h1", "slow", "by = 5.0\nfor = \"300ms\"")
+	fault(200, "store", "slow", "by = 8.0\nfor = \"500ms\"")
+	fault(300, "h1", "steal", "by = 0.5\nfor = \"300ms\"")
+	fault(400, "discovery", "lag", "over = \"300ms\"\nfor = \"2s\"")
+	fault(500, "h2", "drain", "over = \"200ms\"\nfor = \"1s\"")
+	fault(600, "h4", "add", "")
+	fault(700, "discovery", "freeze", "for = \"300ms\"")
+	fault(1100, "h3", "hang", "for = \"400ms\"")
+	fault(1200, "link-h1", "delay", "over = \"20ms\"\nfor = \"500ms\"")
+	fault(1300, "link-h2", "limit", "by = 20000.0\nfor = \"500ms\"")
+	fault(1700, "n1", "stall", "for = \"500ms\"")
+	fault(2300, "link-h1", "stall", "for = \"200ms\"")
+	fault(2600, "link-h1", "silence", "for = \"300ms\"")
+	fault(2700, "link-h2", "deaf", "for = \"300ms\"")
+	fault(2800, "link-h3", "reset", "")
+	fault(3000, "n2", "kill", "for = \"500ms\"")
+	fault(3100, "discovery", "busy", "for = \"200ms\"")
+	fault(3400, "discovery", "reset", "for = \"200ms\"")
+	fault(3700, "discovery", "mute", "for = \"200ms\"")
+	fault(4000, "discovery", "restart", "")
+	fault(4100, "n1", "stop", "for = \"200ms\"")
+	fault(4200, "h4", "die", "for = \"300ms\"")
+	result := filepath.Join(t.TempDir(), "r.json")
+	status, _, errs := command(t, "load", "run", write(t, "s.toml", text), "-o", result)
+	if status != 0 {
+		t.Fatalf("exit %d: %s", status, errs)
+	}
+	r, err := load.ReadResult(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, total := r.Classes[0], int64(0)
+	for _, n := range c.Outcomes {
+		total += n
+	}
+	if total != c.Asked || c.Asked < 120 || c.Outcomes["served"] < c.Asked/2 || c.Outcomes["cut"]+c.Outcomes["unsent"] > 0 || r.Wrong != 0 {
+		t.Errorf("asked %d, outcomes %v, %d wrong receipts", c.Asked, c.Outcomes, r.Wrong)
+	}
+	if len(r.Marks) < want {
+		t.Errorf("%d marks of %d faults: %v", len(r.Marks), want, r.Marks)
+	}
+}
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -29,7 +29,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			fmt.Fprint(c.ErrOrStderr(), c.UsageString())
-			return usage(errors.New("a command is missing"))
+			return usage(errors.New("a command is missing, see the usage above"))
 		},
 	}
 	c.AddCommand(loadRun(), loadReplay(), loadRecord(), loadCompare(), loadPlot(), loadStand())
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -23,6 +23,8 @@
 	ExitBehind  = 3 // load: the generator fell behind, so the figures are not the node's alone
 	ExitPartial = 4 // load: stopped before its end; the result says so
 	ExitWorse   = 5 // load compare --check: a figure is worse by more than noise
+	ExitLimit   = 6 // an order would take more instances away than its limits allow
+	ExitNotWell = 7 // an operation that was waited for failed, or a check found instances that are not well
 )
 
 const statuses = `Exit statuses:
@@ -31,7 +33,9 @@
   2  the command line, or a file that it names, is wrong
   3  load: the generator fell behind, so the figures are not the node's alone
   4  load: stopped before its end; the result that was written is partial
-  5  load compare --check: a figure is worse by more than noise`
+  5  load compare --check: a figure is worse by more than noise
+  6  the order would take more instances away than its limits allow
+  7  an operation that was waited for did not succeed, or a check found instances that are not well`
 
 // status is an error with an exit status of its own.
 type status struct {
@@ -85,11 +89,11 @@
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			fmt.Fprint(c.ErrOrStderr(), c.UsageString())
-			return usage(errors.New("a command is missing"))
+			return usage(errors.New("a command is missing, see the usage above"))
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(node(), loadCommand())
+	root.AddCommand(node(), loadCommand(), agentCommand(), instancesCommand(), hostsCommand(), operationsCommand(), keysCommand())
 	wrapArgs(root)
 	return root
 }
@@ -105,15 +109,29 @@
 }
 
 func node() *cobra.Command {
-	return &cobra.Command{
+	var own string
+	c := &cobra.Command{
 		Use:   "node",
 		Short: "Run a node",
 		Long: "node runs a node until SIGTERM. What it needs to know stands in the JSON file that PROXY_CONFIG names;\n" +
-			"SIGHUP has it read again.",
-		Example: "  PROXY_CONFIG=config.json onyxstream node",
-		Args:    cobra.NoArgs,
-		RunE:    func(*cobra.Command, []string) error { return lifecycle.Run() },
+			"SIGHUP has it read again. --config names a file of onyxstream's own (deploy/own.toml is an example); what stands\n" +
+			"in it is off without it.",
+		Example: "  PROXY_CONFIG=config.json onyxstream node\n" +
+			"  PROXY_CONFIG=config.json onyxstream node --config own.toml",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var o lifecycle.Own
+			if own != "" {
+				var err error
+				if o, err = lifecycle.ReadOwn(own); err != nil {
+					return err
+				}
+			}
+			return lifecycle.Run(o)
+		},
 	}
+	c.Flags().StringVar(&own, "config", "", "file of onyxstream's own configuration, TOML")
+	return c
 }
 
 // terminal says whether w is one.
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,245 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+)
+
+// Instance is what the server speaks for. Its methods may wait for the instance's loop, never for a peer.
+type Instance interface {
+	Status() Status
+	Do(Command) // carries a command out: from its return on nothing new is begun that it forbids
+}
+
+// Role is what a peer may do.
+type Role uint8
+
+// The roles.
+const (
+	Nobody Role = iota
+	Look
+	Operate
+)
+
+const (
+	mostBody    = 64 << 10 // bytes of a command
+	mostConns   = 64       // connections at one time; those past it wait in the listener's queue
+	mostWatches = 16       // of them, streams of changes
+	headWithin  = 3 * time.Second
+	bodyWithin  = 5 * time.Second
+	idleFor     = 2 * time.Minute
+	lookEvery   = 100 * time.Millisecond // how often a stream looks for a change
+	beatEvery   = 2 * time.Second        // how often a stream says that it stands
+)
+
+// Server answers on control listeners.
+type Server struct {
+	instance Instance
+	log      *zap.Logger
+	boot     string
+
+	mu       sync.Mutex // a command is taken and carried out before the next
+	register *Register
+	watches  chan struct{}
+}
+
+// NewServer makes a server for an instance's start.
+func NewServer(instance Instance, boot string, log *zap.Logger) *Server {
+	return &Server{instance: instance, log: log, boot: boot, register: NewRegister(boot), watches: make(chan struct{}, mostWatches)}
+}
+
+// Listener is one place where the server listens, and what peers there may do.
+type Listener struct {
+	net.Listener
+	Role func(*http.Request) Role
+}
+
+// Local listens on a Unix socket that only the owner of the process may open: whoever does may operate. A socket that
+// a killed process has left is taken over; one on which somebody answers is not.
+func Local(path string) (Listener, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		_ = c.Close()
+		return Listener{}, fmt.Errorf("%s: another process answers there", path)
+	}
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return Listener{}, fmt.Errorf("%s: it is there and no socket", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return Listener{}, err
+		}
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return Listener{}, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		_ = l.Close()
+		return Listener{}, err
+	}
+	return Listener{l, func(*http.Request) Role { return Operate }}, nil
+}
+
+// Remote listens on TCP with TLS; the certificate of a peer says what it may do.
+func Remote(addr string, cfg *tls.Config, role func(*tls.ConnectionState) Role) (Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return Listener{}, err
+	}
+	return Listener{tls.NewListener(l, cfg), func(q *http.Request) Role {
+		if q.TLS == nil {
+			return Nobody
+		}
+		return role(q.TLS)
+	}}, nil
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context, listeners ...Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, l := range listeners {
+		srv := &http.Server{Handler: s.handler(l.Role), ReadHeaderTimeout: headWithin, ReadTimeout: bodyWithin, IdleTimeout: idleFor,
+			MaxHeaderBytes: 16 << 10, ErrorLog: zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+			BaseContext: func(net.Listener) context.Context { return ctx }}
+		g.Go(func() error {
+			if err := srv.Serve(netutil.LimitListener(l.Listener, mostConns)); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		g.Go(func() error {
+			<-ctx.Done()
+			return srv.Close()
+		})
+	}
+	return g.Wait()
+}
+
+func (s *Server) handler(role func(*http.Request) Role) http.Handler {
+	mux := http.NewServeMux()
+	guarded := func(least Role, f http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			if role(q) < least {
+				Fail(w, http.StatusForbidden, errors.New("the certificate does not allow this"))
+				return
+			}
+			f(w, q)
+		}
+	}
+	mux.HandleFunc("GET /v1/status", guarded(Look, func(w http.ResponseWriter, _ *http.Request) { Reply(w, s.status()) }))
+	mux.HandleFunc("GET /v1/watch", guarded(Look, s.watch))
+	mux.HandleFunc("POST /v1/command", guarded(Operate, s.command))
+	return mux
+}
+
+func (s *Server) status() Status {
+	st := s.instance.Status()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.Boot = s.boot
+	st.Operation, st.Fence = s.register.Holds()
+	return st
+}
+
+func (s *Server) command(w http.ResponseWriter, q *http.Request) {
+	var c Command
+	if err := ReadJSON(http.MaxBytesReader(w, q.Body, mostBody), &c); err != nil {
+		Fail(w, http.StatusBadRequest, err)
+		return
+	}
+	a, err := s.Do(c)
+	if err != nil {
+		Fail(w, http.StatusConflict, err)
+		return
+	}
+	Reply(w, a)
+}
+
+// Do takes a command; the error says that it can't be meant so.
+func (s *Server) Do(c Command) (Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, act, err := s.register.Take(c)
+	if err != nil {
+		return a, err
+	}
+	if act {
+		s.instance.Do(c)
+		s.log.Info("a command took effect", zap.String("operation", c.Operation), zap.Uint64("fence", c.Fence),
+			zap.String("kind", c.Kind), zap.String("host", c.Host))
+	}
+	return a, nil
+}
+
+// watch tells the status and each change of it, a line each, with a beat while nothing changes.
+func (s *Server) watch(w http.ResponseWriter, q *http.Request) {
+	select {
+	case s.watches <- struct{}{}:
+		defer func() { <-s.watches }()
+	default:
+		Fail(w, http.StatusServiceUnavailable, fmt.Errorf("%d streams are open, no more can be", mostWatches))
+		return
+	}
+	out := http.NewResponseController(w)
+	ticks := time.NewTicker(lookEvery)
+	defer ticks.Stop()
+	last, at := "", time.Now()
+	for {
+		st := s.status()
+		st.Up = 0 // it changes all the time
+		text, err := json.Marshal(st)
+		if err != nil {
+			return
+		}
+		if string(text) != last || time.Since(at) > beatEvery {
+			last, at = string(text), time.Now()
+			_ = out.SetWriteDeadline(at.Add(bodyWithin))
+			if _, err := w.Write(append(text, '\n')); err != nil || out.Flush() != nil {
+				return
+			}
+		}
+		select {
+		case <-q.Context().Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+// ReadJSON reads one value strictly: what is unknown or follows it is an error.
+func ReadJSON(r interface{ Read([]byte) (int, error) }, into any) error {
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if dec.More() {
+		return errors.New("more than one value")
+	}
+	return nil
+}
+
+// Reply writes an answer.
+func Reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the peer that has gone learns nothing more
+}
+
+// Fail writes an error.
+func Fail(w http.ResponseWriter, code int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+}
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -207,7 +207,11 @@
 			c.finish(wire.Err)
 			return false
 		case kind == wire.HelloPing:
-			if _, err := io.WriteString(c.client, wire.Pong); err != nil {
+			pong := wire.Pong
+			if c.d.node.Leaving() { // not ready: the front is to deal it no one
+				pong = wire.Busy(0)
+			}
+			if _, err := io.WriteString(c.client, pong); err != nil {
 				return false
 			}
 		default:
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,243 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// folder is an authority with an instance n1, an operator and a looker.
+func folder(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := Create(dir, "test"); err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range map[string]string{"n1": Instance, "n2": Instance, "op": Operate, "eye": Look} {
+		if _, err := Issue(dir, name, role, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+func files(dir, name string) Files {
+	return Files{filepath.Join(dir, name+".crt"), filepath.Join(dir, name+".key"), filepath.Join(dir, authorityName+".crt"), filepath.Join(dir, revokedName)}
+}
+
+func open(t *testing.T, f Files) *Keeper {
+	t.Helper()
+	k, err := Open(f, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// serve answers each connection with the role that it has.
+func serve(t *testing.T, k *Keeper) string {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", k.Server())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { _ = l.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				s := c.(*tls.Conn)
+				buf := make([]byte, 1)
+				for {
+					if _, err := s.Read(buf); err != nil {
+						return
+					}
+					st := s.ConnectionState()
+					_, _ = io.WriteString(s, k.Role(&st)+"\n")
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+func call(t *testing.T, addr string, cfg *tls.Config) (*tls.Conn, string, error) {
+	d := &net.Dialer{Timeout: 10 * time.Second}
+	c, err := tls.DialWithDialer(d, "tcp", addr, cfg)
+	if err != nil {
+		return nil, "", err
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	role, err := again(c)
+	return c, role, err
+}
+
+func again(c *tls.Conn) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, "?"); err != nil {
+		return "", err
+	}
+	buf := make([]byte, 32)
+	n, err := c.Read(buf)
+	return strings.TrimSpace(string(buf[:n])), err
+}
+
+func TestWhoMayAndWhoMayNot(t *testing.T) {
+	dir, other := folder(t), folder(t)
+	addr := serve(t, open(t, files(dir, "n1")))
+	for name, want := range map[string]string{"op": Operate, "eye": Look} {
+		if _, role, err := call(t, addr, open(t, files(dir, name)).Client("n1")); err != nil || role != want {
+			t.Errorf("%s is %q, error %v", name, role, err)
+		}
+	}
+	if err := Revoke(dir, "eye"); err != nil {
+		t.Fatal(err)
+	}
+	expired := filepath.Join(t.TempDir(), "late")
+	a, err := read(dir, authorityName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := a.Issue("late", Operate, time.Hour, time.Now().Add(-2*time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.write(filepath.Dir(expired), "late"); err != nil {
+		t.Fatal(err)
+	}
+	late := files(dir, "late")
+	late.Cert, late.Key = expired+".crt", expired+".key"
+	foreign := files(other, "op")
+	foreign.Authority = files(dir, "op").Authority
+	server := open(t, files(dir, "n1"))
+	addr = serve(t, server)
+	for name, cfg := range map[string]*tls.Config{
+		"revoked":              open(t, files(dir, "eye")).Client("n1"),
+		"expired":              open(t, late).Client("n1"),
+		"another authority's":  open(t, foreign).Client("n1"),
+		"an instance's":        open(t, files(dir, "n2")).Client("n1"),
+		"none":                 {InsecureSkipVerify: true},
+		"of an older protocol": {InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12},
+		"for another instance": open(t, files(dir, "op")).Client("n2"),
+	} {
+		if _, role, err := call(t, addr, cfg); err == nil {
+			t.Errorf("a certificate that is %s is let in as %q", name, role)
+		}
+	}
+	// An instance must not be answered for by who only asks.
+	if _, _, err := call(t, serve(t, open(t, files(dir, "op"))), open(t, files(dir, "op")).Client("op")); err == nil {
+		t.Error("an operator's certificate answers as an instance")
+	}
+}
+
+// A renewed certificate is shown without a restart, one that is half written is not, and a revocation counts on
+// connections that stand.
+func TestFilesThatChangeWhileAProgramRuns(t *testing.T) {
+	dir := folder(t)
+	var mu sync.Mutex
+	var warned []error
+	k, err := Open(files(dir, "n1"), func(err error) { mu.Lock(); warned = append(warned, err); mu.Unlock() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := serve(t, k)
+	op := open(t, files(dir, "op"))
+	shown := func() string {
+		t.Helper()
+		c, _, err := call(t, addr, op.Client("n1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return Serial(c.ConnectionState().PeerCertificates[0])
+	}
+	eventually := func(what string, f func() bool) {
+		t.Helper()
+		for begin := time.Now(); !f(); time.Sleep(50 * time.Millisecond) {
+			if time.Since(begin) > 20*time.Second {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	was := shown()
+	whole, err := os.ReadFile(files(dir, "n1").Cert)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(files(dir, "n1").Cert, whole[:len(whole)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	eventually("the half file is complained of", func() bool {
+		if shown() != was {
+			t.Fatal("half a file was taken")
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		return len(warned) > 0
+	})
+	if err := os.WriteFile(files(dir, "n1").Cert, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Renew(dir, "n1", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	eventually("the renewed one is shown", func() bool { return shown() != was })
+	c, role, err := call(t, addr, op.Client("n1"))
+	if err != nil || role != Operate {
+		t.Fatalf("role %q, error %v", role, err)
+	}
+	if err := Revoke(dir, "op"); err != nil {
+		t.Fatal(err)
+	}
+	eventually("the revocation counts on what stands", func() bool {
+		role, err := again(c)
+		return err == nil && role == "" || errors.Is(err, io.EOF)
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if len(warned) != 1 {
+		t.Errorf("warned %d times: %v", len(warned), warned)
+	}
+}
+
+func TestWrongFilesAreNamed(t *testing.T) {
+	dir := folder(t)
+	mixed := files(dir, "n1")
+	mixed.Key = files(dir, "n2").Key
+	norole := files(dir, authorityName)
+	bad := files(dir, "n1")
+	bad.Revoked = filepath.Join(dir, "bad")
+	if err := os.WriteFile(bad.Revoked, []byte("ab\nnot a serial\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	missing := files(dir, "n1")
+	missing.Authority = filepath.Join(dir, "nowhere")
+	for want, f := range map[string]Files{"n1.crt": mixed, "no role": norole, "bad:2": bad, "nowhere": missing} {
+		if _, err := Open(f, nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want %s", f, err, want)
+		}
+	}
+	for _, c := range []struct {
+		name, role string
+		valid      time.Duration
+	}{{"a/b", Look, time.Hour}, {"..", Look, time.Hour}, {"", Look, time.Hour}, {"x", "king", time.Hour}, {"x", Look, 0}, {"x", Look, 10 * MostValid}, {authorityName, Look, time.Hour}} {
+		if _, err := Issue(dir, c.name, c.role, c.valid); err == nil {
+			t.Errorf("%+v is issued", c)
+		}
+	}
+	if err := Create(dir, "again"); err == nil {
+		t.Error("an authority was overwritten")
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/own.go
@@ -0,0 +1,141 @@
+package lifecycle
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/conf"
+	"onyxstream/internal/control"
+	"onyxstream/internal/keys"
+	"onyxstream/internal/node"
+)
+
+// Own is the project's own configuration file (TOML), beside the platform's: what stands in it is off without it.
+type Own struct {
+	Control Control `toml:"control"`
+}
+
+// Control says where a node is told and asked by operators.
+type Control struct {
+	Socket string      `toml:"socket"` // a Unix socket; "" for none
+	Listen string      `toml:"listen"` // an address for TLS; "" for none
+	Keys   *keys.Files `toml:"keys"`   // needed with listen
+}
+
+// ReadOwn reads the file. Errors are *conf.Error.
+func ReadOwn(path string) (Own, error) {
+	var o Own
+	_, err := conf.Read(path, &o)
+	return o, err
+}
+
+// Check says what is wrong.
+func (o *Own) Check() error {
+	c := &o.Control
+	if c.Listen == "" {
+		return nil
+	}
+	if _, err := net.ResolveTCPAddr("tcp", c.Listen); err != nil {
+		return conf.Wrong("control.listen", "%q is no address and port", c.Listen)
+	}
+	if c.Keys == nil {
+		return conf.Wrong("control.listen", "it needs [control.keys]")
+	}
+	for _, f := range []struct{ name, v string }{{"cert", c.Keys.Cert}, {"key", c.Keys.Key}, {"authority", c.Keys.Authority}} {
+		if f.v == "" {
+			return conf.Wrong("control.keys."+f.name, "it is missing")
+		}
+	}
+	return nil
+}
+
+// listeners opens what the file asks for; none where it asks for nothing.
+func (c *Control) listeners(log *zap.Logger) (out []control.Listener, err error) {
+	defer func() {
+		if err != nil {
+			for _, l := range out {
+				_ = l.Close()
+			}
+		}
+	}()
+	if c.Socket != "" {
+		l, err := control.Local(c.Socket)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, l)
+	}
+	if c.Listen != "" {
+		k, err := keys.Open(*c.Keys, func(err error) { log.Error("renewed keys can't be taken", zap.Error(err)) })
+		if err != nil {
+			return out, err
+		}
+		l, err := control.Remote(c.Listen, k.Server(), func(s *tls.ConnectionState) control.Role {
+			switch k.Role(s) {
+			case keys.Operate:
+				return control.Operate
+			case keys.Look:
+				return control.Look
+			}
+			return control.Nobody
+		})
+		if err != nil {
+			return out, err
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// controlled is a node as the control listener sees it.
+type controlled struct {
+	name  string
+	node  *node.Node
+	began time.Time
+	stop  context.Context // ends when the node is told to stop
+}
+
+// newBoot names a start of a node: no two have the same.
+func newBoot() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// Status tells how the node is.
+func (c *controlled) Status() control.Status {
+	v := c.node.View()
+	s := control.Status{Name: c.name, State: control.Serving, Owed: c.node.Owed(), Open: c.node.Open(), Up: time.Since(c.began).Seconds(),
+		Revision: v.Revision}
+	switch {
+	case c.stop.Err() != nil:
+		s.State = control.Stopping
+	case c.node.Leaving() && s.Owed+s.Open == 0:
+		s.State = control.Drained
+	case c.node.Leaving():
+		s.State = control.Draining
+	}
+	states := map[brain.ServerState]string{brain.Live: "live", brain.Draining: "draining", brain.Gone: "gone"}
+	for _, h := range v.Hosts {
+		s.Hosts = append(s.Hosts, control.HostStatus{ID: string(h.ID), State: states[h.State], Word: h.Word, Open: h.Open})
+	}
+	return s
+}
+
+// Do carries a command out.
+func (c *controlled) Do(cmd control.Command) {
+	switch cmd.Kind {
+	case control.Drain:
+		c.node.Leave(true, time.Now().Add(cmd.Within), cmd.After)
+	case control.Resume:
+		c.node.Leave(false, time.Time{}, 0)
+	case control.HostDrain, control.HostResume:
+		c.node.Word(brain.ServerID(cmd.Host), cmd.Kind == control.HostDrain)
+	default:
+		panic(fmt.Sprintf("a command of kind %q was let through", cmd.Kind))
+	}
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"onyxstream/brain"
+	"onyxstream/internal/control"
 	"onyxstream/internal/driver"
 	"onyxstream/internal/node"
 )
@@ -37,8 +39,9 @@
 	*driver.Driver
 }
 
-// Run is a node's life, from its configuration to a signal to stop.
-func Run() error {
+// Run is a node's life, from its configuration to a signal to stop. own is the project's own configuration; its zero
+// value turns nothing on.
+func Run(own Own) error {
 	// Before all else: a SIGHUP that nobody waits for ends the process.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -65,11 +68,20 @@
 	if err != nil {
 		return err
 	}
+	asked, err := own.Control.listeners(log)
+	if err != nil {
+		_ = l.Close()
+		return fmt.Errorf("control: %w", err)
+	}
 	log.Info("started", zap.String("listen", cfg.Listen), zap.Int("hosts known", len(cfg.Known.Members)))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.Run(ctx) })
 	g.Go(func() error { return y.Run(ctx) })
 	g.Go(func() error { return d.Serve(l) })
+	if len(asked) > 0 {
+		s := control.NewServer(&controlled{cfg.Name, n, time.Now(), stop}, newBoot(), log)
+		g.Go(func() error { return s.Serve(ctx, asked...) })
+	}
 	g.Go(func() error {
 		follow(ctx, again, cfg, n, log)
 		return nil
--- a/internal/load/play.go
+++ b/internal/load/play.go
@@ -116,6 +116,7 @@
 	if res == nil {
 		return nil, err
 	}
+	res.Self = self()
 	res.Scenario, res.Trace = string(text), o.Trace
 	if o.Trace != "" {
 		res.Speed = o.Speed
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -40,6 +41,17 @@
 	Wrong    int64         `json:"wrong_receipts"` // that no host gave for that connection: never above 0
 	Nodes    *rig.Usage    `json:"nodes,omitempty"`
 	Hosts    []HostCount   `json:"hosts,omitempty"`
+	Self     rig.Usage     `json:"self"` // the generator's process, with the stand-ins that run in it
+}
+
+// self is what this process has taken so far.
+func self() (u rig.Usage) {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) == nil {
+		u.CPU = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+		u.PeakMB = float64(r.Maxrss) / 1024
+	}
+	return u
 }
 
 // resultFormat counts changes of the form that older readers can't read.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -16,7 +16,8 @@
 	addr   string
 	since  int64 // its last start, as listed
 	state  brain.ServerState
-	toldAt time.Time // when it was told to drain or be gone
+	toldAt time.Time   // when it was told to drain or be gone
+	listed wire.Member // as the list has it
 
 	// How messages fare there, see pulse.
 	took   []time.Duration
@@ -57,7 +58,8 @@
 		if m.addr = e.Addr; m.since != e.UpSince { // a host that has restarted is not what it was
 			m.since, m.best, m.doubt, m.pile = e.UpSince, 0, 0, 0
 		}
-		m.tell(states[e.Phase], now)
+		m.listed = e
+		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
 			Since: time.Duration(e.UpSince) * time.Millisecond}
 		if z, ok := n.zones[e.Zone]; ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	watchAt  time.Time // when to watch again there
 	tick     int
 	moveBy   time.Time // all clients are to be gone by then; zero while the node stays
+	orders
 
 	owed, open atomic.Int64
 }
@@ -122,6 +123,9 @@
 	evPinged
 	evMoveAll
 	evResume
+	evLeave
+	evWord
+	evView
 )
 
 type event struct {
@@ -137,6 +141,7 @@
 	list    *wire.Catalog
 	call    uint64
 	reply   chan place
+	view    chan View
 	text    string
 }
 
@@ -145,6 +150,7 @@
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
+		orders:  orders{words: map[brain.ServerID]bool{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
@@ -357,7 +363,7 @@
 		}
 	case evConnected:
 		if r != nil {
-			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && n.sendable(r.on))
+			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && n.sendable(r.on) && !n.late())
 		}
 	case evOpened:
 		if r != nil && r.out && !r.up && e.attempt == r.attempts-1 {
@@ -415,6 +421,8 @@
 		}
 	case evMoveAll:
 		n.moveBy = e.until
+	case evLeave, evWord, evView:
+		n.order(e)
 	}
 }
 
