--- a/brain/brain.go
+++ b/brain/brain.go
@@ -454,8 +454,8 @@
 	}
 }
 
-// depart sends away what stands while the node drains, evenly over the time there is, least worth for its load
-// first: all at once would come down on the other nodes as a wave.
+// depart sends away what stands while the node drains, evenly over the time there is, least worth for its
+// load first: all at once would come down on the other nodes as a wave.
 func (b *Brain) depart() {
 	on := b.standing(nil)
 	steps := max((b.leaving-b.now)/sweepEvery, 1)
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"onyxstream/internal/fleet"
 )
@@ -32,7 +33,7 @@
 // OpenStore opens or makes a store. One that another agent holds is refused.
 func OpenStore(path string) (*Store, error) {
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWithin})
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another agent holds it", path)
 	} else if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -397,8 +397,7 @@
 	due := e.now() + time.Duration(requestRand(e.s.Seed^0x6d7367, r.N).Float64()*float64(r.Message))
 	var over atomic.Bool
 	var timer atomic.Pointer[time.Timer]
-	var say func()
-	say = func() {
+	say := func() {
 		if over.Load() {
 			return
 		}
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -56,7 +56,6 @@
 	ended, moved, broken, dropped, cut int64 // how connections that were up ended
 	returns                            int64
 	sent, answered                     int64 // lines
-	wrong                              int64 // receipts and answers that nobody can have made
 }
 
 func newTally() *tally {
@@ -69,9 +68,9 @@
 
 // bucket is a stretch of the time line, by the intended moment.
 type bucket struct {
-	intended, made, stood, back int64
-	outcomes                    [outcomes]int64
-	latency                     *hdr.Histogram
+	intended, stood, back int64
+	outcomes              [outcomes]int64
+	latency               *hdr.Histogram
 }
 
 // stats is all that a run counts. One lock serves: a record takes under a microsecond.
