A connection that comes mid-flow reaches its host while the node drains

Need: the module places such a connection also during a drain, since it is no new work, but the loop let no line be written once the grace had run: the client would have lost it. Change: the loop's check passes mid-flow requests; a test with a drained node past its grace. Result: the test passes with the change; the check is never reached where no drain was ordered.

--- a/cmd/onyxstream/agent_test.go
+++ b/cmd/onyxstream/agent_test.go
@@ -293,3 +293,19 @@
 		t.Errorf("without an agent: exit %d: %s", status, errs)
 	}
 }
+
+// A node that drains takes nothing new, but a connection that is open already and comes mid-flow still reaches its host,
+// also once the grace has run.
+func TestMidFlowReachesItsHostWhileTheNodeDrains(t *testing.T) {
+	t.Parallel()
+	f := newThree(t)
+	if status, out, errs := f.run(t, "instances", "drain", "n1", "--wait", "--operation", "mid"); status != 0 {
+		t.Fatalf("exit %d: %s%s", status, out, errs)
+	}
+	told := f.told(t, 0, "mid")[0]
+	eventually(t, "the grace has run", func() bool { return f.clock.Now() > told+2*grace })
+	f.nodes[0].open(t, "").hears("BUSY ")
+	_, before := f.lastNew(0)
+	f.nodes[0].open(t, ",mid=1")
+	eventually(t, "the host hears of it", func() bool { _, n := f.lastNew(0); return n == before+1 })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	up       bool
 	answered bool   // has had its final answer
 	leaving  bool   // told to move
+	mid      bool   // open elsewhere already when it came: no new work
 	silent   bool   // a message of it waited too long when last looked at
 	told     uint64 // messages of it that were counted
 }
@@ -363,7 +364,7 @@
 		}
 	case evConnected:
 		if r != nil {
-			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && n.sendable(r.on) && !n.late())
+			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && n.sendable(r.on) && (r.mid || !n.late()))
 		}
 	case evOpened:
 		if r != nil && r.out && !r.up && e.attempt == r.attempts-1 {
@@ -438,7 +439,7 @@
 		e.port.Fail()
 		return
 	}
-	n.reqs[e.id] = &request{port: e.port}
+	n.reqs[e.id] = &request{port: e.port, mid: e.opening.Mid}
 	n.owed.Add(1)
 	n.decide(a)
 }
