A node with little traffic spends its part of a cold host's budget, by the quotas

Checked: the list reached the nodes in time (new hosts are dialled once from 13 s on), no dial there was refused, and set-ups there were fast. Counted over 80 nodes: each node's budget was FallMultiple x share x its own rate of set-ups, about 0.05 a second, times a ninth: affords() in brain/fleet.go gave 0.01 connections a second, so that a first token came after the host was warm. All nodes together spent almost none of what such a host bears.

Change: capacity is also judged by half the node's part of the connections that the tenants' quotas let the fleet hold. A part of less than one connection in a window is one in some windows, by chance, so that saved-up parts of many nodes can't come down together.

The new test: 80 nodes sent 0 of a budget of 39 before, now between an eighth and all of it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,9 @@
 	b.rng = rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))
 	b.groups, b.means = map[string]int{}, make([]float64, len(s.Classes))
 	b.set.Tenants, b.tenants = append(slices.Clip(s.Tenants), Tenant{}), make([]int, len(s.Tenants)+1)
+	for _, t := range s.Tenants {
+		b.quota += t.Connections / float64(max(s.GroupSize, 1))
+	}
 	b.set.Classes = slices.Clone(s.Classes)
 	for i, c := range s.Classes {
 		b.set.Classes[i].SetupAim = cmp.Or(c.SetupAim, c.Deadline, time.Second) // none told: no hurry
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -56,7 +57,7 @@
 		}
 		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
 			s.since, s.limit, s.peak, s.strikes, s.suspect = row.Since, 0, 0, 0, 0
-			s.tokens, s.refill = b.rng.Float64(), b.now
+			s.tokens, s.refill = 0, b.now-b.set.FallWindow
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
 		if s.state == draining { // called back
@@ -144,16 +145,19 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. Capacity is judged by what this node places for the weight: what
-// servers carry is less than what they could, and that is the margin.
+// capacity, covers one more connection. Capacity is judged by what this node places for the weight, or by its
+// part of what the tenants' quotas let the fleet hold, half of it: groups and heavy classes take the rest. A
+// share of less than one connection in a window is one in some windows, by chance: saved up, the shares of many
+// nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 {
 		return true
 	}
-	rate := b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
-	s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
-	s.refill = b.now
+	rate := b.set.FallMultiple * share * max(b.rate, b.quota/2) * s.weight / max(b.weight, s.weight)
+	if b.now >= s.refill+b.set.FallWindow {
+		s.tokens, s.refill = math.Floor(rate*b.set.FallWindow.Seconds()+b.rng.Float64()), b.now
+	}
 	return s.tokens >= 1
 }
 
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -84,6 +84,43 @@
 	}
 }
 
+// Eighty nodes that have hardly placed anything yet spent almost none of a cold server's budget, each its own
+// rate's part. What the quotas let the fleet hold tells what the server is good for; in sum the budget still holds.
+func TestNodesWithoutTrafficSpendAColdServersBudget(t *testing.T) {
+	const nodes, servers, quota = 80, 10, 300.0
+	var all []*Brain
+	for i := range nodes {
+		s := testSettings()
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, []Tenant{{Connections: quota}}
+		n := started(t, s, servers)
+		n.Handle(time.Minute, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "s99", Weight: 4, Since: time.Minute}}})
+		all = append(all, n)
+	}
+	set := testSettings()
+	windows := make([]float64, 4)
+	for w := range windows {
+		for i, n := range all { // every node has several clients waiting in every window
+			now := time.Minute + time.Duration(w)*set.FallWindow + time.Duration(i)*ms
+			for c := range 20 {
+				id := RequestID(fmt.Sprint(w, "-", i, "-", c))
+				for _, s := range sends(n.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})) {
+					if s.Server == "s99" {
+						windows[w]++
+					}
+					n.Handle(now, Settled{ID: id, Outcome: Served, Final: true})
+				}
+			}
+		}
+	}
+	for w, sent := range windows {
+		share := set.ColdShare + (1-set.ColdShare)*float64(w)*set.FallWindow.Seconds()/set.WarmWithin.Seconds()
+		budget := set.FallMultiple * share * quota * 4 / all[0].weight * set.FallWindow.Seconds()
+		if sent < budget/8 || sent > budget {
+			t.Errorf("window %d: %.0f connections of a budget of %.1f", w, sent, budget)
+		}
+	}
+}
+
 // The list has a fixed capacity for every node: calls at the start, and after it failed for all at once,
 // must not come in step.
 func TestListCallsOfManyNodesSpread(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -47,6 +47,7 @@
 	trusting, short      bool      // most is suspect, so that is set aside; most of what is known is crowded
 	unit                 float64   // mean load of a connection, 0 while no note has come
 	means                []float64 // the same of each class
+	quota                float64   // this node's part of what the tenants may have open
 	rate, placed         float64   // set-ups a second, and in the second that runs
 
 	gap, nextSend, cutAt time.Duration // gap: least time between paced sends, 0 for none
@@ -92,7 +93,7 @@
 	excess             float64       // load over capacity by its last report
 	toldAt, askedAt    time.Duration // when that came, 0 for never, and was last asked for
 
-	tokens  float64 // cold budget left, in connections, as of refill
+	tokens  float64 // cold budget left, in connections, of the window that began at refill
 	refill  time.Duration
 	visited uint64 // stamp of the walk that last met it
 }
