A group has four places in a fleet whose nodes see too little to tell its size

On pass-through arrivals after the kill of 56 nodes 55 of 146 went to a host that did not hold them.

At fault: home() in brain/brain.go gave a group further places by its part of what the node itself has open, one or two connections there, so none at first and different ones at each node; and the further places were taken host by host, whatever their weight.

Change: further places are entries hashed from the group's first, so that weights count. A node that by the quotas is to hold under skipFloor connections on a host gives every group four, the same at every node; others count as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	groupReach = 4 // how many servers past its places a group may newly stand on in a short fleet
+	groupReach  = 4 // how many servers past its place a connection of a group may newly go to in a short fleet
+	blindPlaces = 4 // places of a group where a node sees too little to tell large groups from small ones
 	// A server is skipped, as in the design, over skipFactor times the mean and from skipFloor connections on.
 	skipFactor, skipFloor = 1.5, 2
 
@@ -281,35 +282,49 @@
 }
 
 // home is the request's entry in the table, the hash of its client key, or of its group where there are
-// groups, as connections of a group share work on a server; of its own id where it has neither. A group that
-// is more than one server's part of what this node has open stands on the next servers from its entry too,
-// and steps tells how many to pass for this client, which keeps to its place as they change.
-func (b *Brain) home(r *request) (entry, steps int) {
+// groups, as connections of a group share work on a server; of its own id where it has neither. A group of
+// several places has further entries, each hashed from the first; the client's key picks one, and keeps to it
+// as their number changes.
+func (b *Brain) home(r *request) int {
 	own := cmp.Or(r.Key, string(r.ID))
+	at := xxhash.Sum64String(cmp.Or(r.Group, own))
 	if r.Group != "" {
-		part := float64(b.groups[r.Group]) / float64(b.open+1)
-		steps = int(jump.Hash(xxhash.Sum64String(own), 1+int(part*float64(len(b.table.holders))/skipFactor)))
+		if n := jump.Hash(xxhash.Sum64String(own), b.places(r.Group)); n > 0 {
+			at = mix(at, uint64(n))
+		}
+	}
+	return int(at % uint64(len(b.table.first)))
+}
+
+// places is how many a group has: as many as it is servers' parts of what this node has open. A node that is to
+// hold less than skipFloor connections on a server, by the quotas, sees neither a group's size nor a crowd that
+// it should skip: there each group has the same few, so that large ones don't crowd one server, and small ones
+// are not paid for on all.
+func (b *Brain) places(group string) int {
+	all := float64(len(b.table.holders))
+	if b.quota > 0 && b.quota < skipFloor*all {
+		return blindPlaces
 	}
-	return int(xxhash.Sum64String(cmp.Or(r.Group, own)) % uint64(len(b.table.first))), steps
+	return 1 + int(float64(b.groups[group])/float64(b.open+1)*all/skipFactor)
 }
 
 // place picks the server: the first hop of the request's place, or the second for a mid-flow arrival while
 // that entry changes; where that one is barred, the first that fits of those that its group's entry and the
 // next ones name, in the same order at every node.
 func (b *Brain) place(r *request) *server {
-	at, steps := b.home(r)
+	at := b.home(r)
 	b.walks++
 	var best *server
 	var rank, value float64
-	near, size := steps+groupReach, len(b.table.first)
+	near, size := groupReach, len(b.table.first)
 	for i, left := at, len(b.table.holders); i < at+size && left > 0; i++ {
 		s := b.table.first[i%size]
 		if s == nil || s.visited == b.walks {
 			continue
 		}
+		home := left == len(b.table.holders)
 		s.visited, left = b.walks, left-1
-		home := steps == 0
-		if steps--; home && r.MidFlow { // it stands where the table put it, however loaded that server is
+		if home && r.MidFlow { // it stands where the table put it, however loaded that server is
 			for _, s := range b.table.hops(i % size) {
 				if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
 					return s
