In a large fleet a client that comes again takes another of its group's places

Counted: a client that is moved comes back by way of the front to any of 27 nodes of its zone, 26 of which know nothing of the crowd, and home() sends it where its key leads, the same host again. What is learnt at one node is lost at eighty.

Ruled out: a longer limit or suspicion at the node that moved it (it does not see the client again).

Change: where nodes see too little, a client marked as coming again takes one of its group's four places by its id, which is new with each connection. Mid-flow arrivals are looked for by the key as before; one that stands elsewhere is not found then, which costs one set-up.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -289,7 +289,11 @@
 	own := cmp.Or(r.Key, string(r.ID))
 	at := xxhash.Sum64String(cmp.Or(r.Group, own))
 	if r.Group != "" {
-		if n := jump.Hash(xxhash.Sum64String(own), b.places(r.Group)); n > 0 {
+		n := b.places(r.Group)
+		if r.Again && n == blindPlaces {
+			own = string(r.ID)
+		}
+		if n := jump.Hash(xxhash.Sum64String(own), n); n > 0 {
 			at = mix(at, uint64(n))
 		}
 	}
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// What one node moved off a crowded server, the next one that the client came to put there again.
+func TestWhoComesAgainToAnotherNodeGoesElsewhere(t *testing.T) {
+	s := testSettings()
+	s.GroupSize, s.Tenants = 80, []Tenant{{Connections: 350}}
+	n := started(t, s, 10)
+	on, same := map[*server]int{}, n.place(&request{Arrival: Arrival{Group: "g", Key: "k", ID: "first"}, load: 1})
+	for i := range 40 {
+		r := &request{Arrival: Arrival{Group: "g", Key: "k", ID: RequestID(fmt.Sprint(i)), Again: true}, load: 1}
+		on[n.place(r)]++
+		r.Again, r.MidFlow = false, true // the packets of one that stands are looked for by the key alone
+		if n.place(r) != same {
+			t.Fatal("a connection that stands is not looked for where its key puts it")
+		}
+	}
+	if len(on) < 3 || on[same] > 20 {
+		t.Errorf("40 that came again stand on %d servers, %d of them where they were", len(on), on[same])
+	}
+}
+
 // The budget of a cold server is one for all nodes together: 160 nodes, each with a part of the traffic, must
 // not send it more connections in a window than the multiple of what its present share is worth.
 func TestManyNodesTogetherKeepAColdServersBudget(t *testing.T) {
