Nodes of a large fleet ask for the list apart, at the start and after a failure

The list works through calls in turn, those too that are given up, so nothing that comes in step as fast as it serves is served in time.

Ruled out: discovery down (calls waited the whole 2 s, few ended at once), a slow read at the node (the answered calls brought the list in one piece). At fault: the first question within AskWithin/20 in Handle (brain/brain.go) and the backoff from 200 ms in listed (brain/fleet.go), both harmless with three nodes.

Change: first questions and repeats of many nodes are spread over up to half the time within which each must have asked; up to eight nodes ask as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -56,7 +56,7 @@
 	b.now, b.out = now, b.out[:0]
 	if !b.sweeping {
 		b.sweeping, b.secondAt, b.born = true, now, now
-		b.askNotBy = now + b.jitter(b.set.AskWithin/20)
+		b.askNotBy = now + b.jitter(b.apart(b.set.AskWithin/20))
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
 	b.table.progress(now, b.set.DrainGrace, len(b.reqs) == 0)
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -16,6 +16,7 @@
 	fair       = 1.2  // the multiple of its part of the load that a server near lateness may keep
 	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
 	recovery   = 16   // longest deadlines in which a limit grows back: clients' own measure of long
+	fewCalls   = 8    // so many calls at once the list works through well before they are given up
 	rateSmooth = 0.1  // the part of one second's count that moves the known rate of connections
 )
 
@@ -25,7 +26,7 @@
 	if e.Kind == ListFailed { // back off with jitter, doubling, well within the time allowed
 		b.asking, b.watching = false, false
 		b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4)
-		b.askNotBy = b.now + b.backoff/2 + b.jitter(b.backoff)
+		b.askNotBy = b.now + b.backoff/2 + b.jitter(b.apart(b.backoff))
 		return
 	}
 	b.watching = e.Kind != ListCached
@@ -72,6 +73,14 @@
 	}
 }
 
+// apart is the span over which the nodes that would ask the list at once do so, own at least. A few calls wait
+// for each other and no harm is done; of many most are given up, and the list works through those too: if they
+// then ask again in as short a time, none of them is ever served. Half the time allowed is twice as fast as
+// the list must bear, whoever the nodes are.
+func (b *Brain) apart(own time.Duration) time.Duration {
+	return max(own, time.Duration(float64(b.set.AskWithin)/2*(1-fewCalls/float64(max(b.set.GroupSize, 1)))))
+}
+
 // forget drops a server that nothing refers to any more.
 func (b *Brain) forget(s *server) {
 	if s.state == inactive && s.conns == 0 && b.servers[s.id] == s {
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -346,3 +346,73 @@
 		}
 	}
 }
+
+// A list service that works through calls in turn, those too that were given up meanwhile, as one more node after
+// another asks. Eighty nodes started in one instant asked within half a second; half were given up, asked again in step
+// while their dead calls were worked through, and from then on no call was ever served.
+func TestListIsLearntByAllThatStartAtOnce(t *testing.T) {
+	const nodes, each, patience = 80, 60 * ms, 2 * time.Second
+	type call struct {
+		from   int
+		at     time.Duration
+		failed bool
+	}
+	all := make([]*Brain, nodes)
+	start := func(i int) {
+		s := testSettings()
+		s.Seed, s.Index, s.GroupSize = uint64(i)+1, i, nodes
+		all[i] = started(t, s, 10)
+	}
+	var queue []*call
+	last := make([]time.Duration, nodes)
+	run := func(from, to time.Duration) (unlearnt int) {
+		for now := from; now < to; now += each {
+			for i, n := range all {
+				for _, a := range n.Handle(now, Timer{Token: sweepToken}) {
+					if _, ok := a.(Watch); ok {
+						queue, last[i] = append(queue, &call{from: i, at: now}), now
+					}
+				}
+				if !n.watching && now-last[i] > n.set.AskWithin && now-from > n.set.AskWithin {
+					t.Fatalf("node %d has not asked since %v, at %v", i, last[i], now)
+				}
+			}
+			for _, c := range queue {
+				if !c.failed && now >= c.at+patience {
+					c.failed = true
+					all[c.from].Handle(now, ListEvent{Kind: ListFailed})
+				}
+			}
+			if len(queue) > 0 {
+				c := queue[0]
+				if queue = queue[1:]; !c.failed {
+					all[c.from].Handle(now, ListEvent{Kind: ListFull, Version: 2, Servers: fleetOf(10)})
+				}
+			}
+		}
+		for _, n := range all {
+			if !n.watching {
+				unlearnt++
+			}
+		}
+		return unlearnt
+	}
+	for i := range all {
+		start(i)
+	}
+	if n := run(0, 7*time.Second); n > 0 {
+		t.Errorf("%d of %d nodes have no list after 7 s", n, nodes)
+	}
+	for i := range nodes * 7 / 10 {
+		start(i)
+	}
+	if n := run(7*time.Second, 14*time.Second); n > 0 {
+		t.Errorf("%d have none 7 s after seven in ten were started again", n)
+	}
+	for _, n := range all { // the service goes down, and with it every watch
+		n.Handle(14*time.Second, ListEvent{Kind: ListFailed})
+	}
+	if n := run(14*time.Second, 21*time.Second); n > 0 {
+		t.Errorf("%d have none 7 s after all watches broke", n)
+	}
+}
--- a/internal/driver/discovery.go
+++ b/internal/driver/discovery.go
@@ -85,6 +85,7 @@
 					prev = now.prev
 				}
 			}
+			y.log.Debug("discovery is asked", zap.Int64("after", q.After))
 			now = &call{Call: q, over: make(chan struct{}), prev: prev}
 			var on context.Context
 			on, now.cancel = context.WithCancel(ctx)
@@ -107,6 +108,8 @@
 		c.prev = nil
 		c.told.Store(true)
 	}
+	y.log.Debug("news of the list", zap.Int64("revision", list.Revision), zap.Int("members", len(list.Members)),
+		zap.Bool("whole", list.Complete))
 	y.node.Listed(c.N, list)
 }
 
