Groups draw together in their places while a large fleet is short of hosts

At fault: place() walked on from the request's own entry only, and places() gave four whatever was left of the fleet. Change: a group's other places are looked at before what stands behind its own, and where nodes see too little there are as many of the four as is left of the most weight that was listed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -283,53 +284,69 @@
 
 // home is the request's entry in the table, the hash of its client key, or of its group where there are
 // groups, as connections of a group share work on a server; of its own id where it has neither. A group of
-// several places has further entries, each hashed from the first; the client's key picks one, and keeps to it
-// as their number changes.
-func (b *Brain) home(r *request) int {
+// several places has further entries, each hashed from the first; the client's key picks one, and keeps to
+// it as their number changes.
+func (b *Brain) home(r *request) (at uint64, place, places int) {
 	own := cmp.Or(r.Key, string(r.ID))
-	at := xxhash.Sum64String(cmp.Or(r.Group, own))
+	at, places = xxhash.Sum64String(cmp.Or(r.Group, own)), 1
 	if r.Group != "" {
-		n := b.places(r.Group)
-		if r.Again && n == blindPlaces {
+		places = b.places(r.Group)
+		if r.Again && b.blind() {
 			own = string(r.ID)
 		}
-		if n := jump.Hash(xxhash.Sum64String(own), n); n > 0 {
-			at = mix(at, uint64(n))
-		}
+		place = int(jump.Hash(xxhash.Sum64String(own), places))
 	}
-	return int(at % uint64(len(b.table.first)))
+	return at, place, places
 }
 
-// places is how many a group has: as many as it is servers' parts of what this node has open. A node that is to
-// hold less than skipFloor connections on a server, by the quotas, sees neither a group's size nor a crowd that
-// it should skip: there each group has the same few, so that large ones don't crowd one server, and small ones
-// are not paid for on all.
+// entry is the i-th entry to look at for a request: its own, its group's others, then those behind its own.
+func (b *Brain) entry(at uint64, place, places, i int) int {
+	if i < places {
+		place, i = (place+i)%places, 0
+	} else {
+		i -= places - 1
+	}
+	if place > 0 {
+		at = mix(at, uint64(place))
+	}
+	return int((at%uint64(len(b.table.first)) + uint64(i)) % uint64(len(b.table.first)))
+}
+
+// places is how many a group has: as many as it is servers' parts of what this node has open. A node that
+// is to hold less than skipFloor connections on a server, by the quotas, sees neither a group's size nor a
+// crowd that it should skip: there each group has the same few, so that large ones don't crowd one server,
+// and small ones are not paid for on all; fewer while much of the listed weight is gone, as the rest can't
+// bear the price.
 func (b *Brain) places(group string) int {
 	all := float64(len(b.table.holders))
-	if b.quota > 0 && b.quota < skipFloor*all {
-		return blindPlaces
+	if b.blind() {
+		return max(1, int(math.Round(blindPlaces*b.weight/b.most)))
 	}
 	return 1 + int(float64(b.groups[group])/float64(b.open+1)*all/skipFactor)
 }
 
+// blind reports whether this node is to hold too few connections on a server to judge by them, by the quotas.
+func (b *Brain) blind() bool { return b.quota > 0 && b.quota < skipFloor*float64(len(b.table.holders)) }
+
 // place picks the server: the first hop of the request's place, or the second for a mid-flow arrival while
 // that entry changes; where that one is barred, the first that fits of those that its group's entry and the
 // next ones name, in the same order at every node.
 func (b *Brain) place(r *request) *server {
-	at := b.home(r)
+	at, own, places := b.home(r)
 	b.walks++
 	var best *server
 	var rank, value float64
 	near, size := groupReach, len(b.table.first)
-	for i, left := at, len(b.table.holders); i < at+size && left > 0; i++ {
-		s := b.table.first[i%size]
+	for i, left := 0, len(b.table.holders); i < size+places && left > 0; i++ {
+		at := b.entry(at, own, places, i)
+		s := b.table.first[at]
 		if s == nil || s.visited == b.walks {
 			continue
 		}
 		home := left == len(b.table.holders)
 		s.visited, left = b.walks, left-1
 		if home && r.MidFlow { // it stands where the table put it, however loaded that server is
-			for _, s := range b.table.hops(i % size) {
+			for _, s := range b.table.hops(at) {
 				if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
 					return s
 				}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -34,7 +34,8 @@
 
 // homeEntry is the entry of the table that a request without a group belongs to.
 func homeEntry(b *Brain, r *request) int {
-	return b.home(r)
+	at, place, places := b.home(r)
+	return b.entry(at, place, places, 0)
 }
 
 func sends(actions []Action) (out []Send) {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -73,10 +73,10 @@
 	}
 }
 
-// apart is the span over which the nodes that would ask the list at once do so, own at least. A few calls wait
-// for each other and no harm is done; of many most are given up, and the list works through those too: if they
-// then ask again in as short a time, none of them is ever served. Half the time allowed is twice as fast as
-// the list must bear, whoever the nodes are.
+// apart is the span over which the nodes that would ask the list at once do so, own at least. A few calls
+// wait for each other and no harm is done; of many most are given up, and the list works through those
+// too: if they then ask again in as short a time, none of them is ever served. Half the time allowed is
+// twice as fast as the list must bear, whoever the nodes are.
 func (b *Brain) apart(own time.Duration) time.Duration {
 	return max(own, time.Duration(float64(b.set.AskWithin)/2*(1-fewCalls/float64(max(b.set.GroupSize, 1)))))
 }
@@ -120,6 +120,7 @@
 			b.usable += b.carries(s)
 		}
 	}
+	b.most = max(b.most, b.weight)
 	b.trusting, b.short = shut > ejectable*b.weight, crowded > ejectable*known
 }
 
@@ -154,10 +155,10 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. Capacity is judged by what this node places for the weight, or by its
-// part of what the tenants' quotas let the fleet hold, half of it: groups and heavy classes take the rest. A
-// share of less than one connection in a window is one in some windows, by chance: saved up, the shares of many
-// nodes would come down together.
+// capacity, covers one more connection. Capacity is judged by what this node places for the weight, or by
+// its part of what the tenants' quotas let the fleet hold, half of it: groups and heavy classes take the
+// rest. A share of less than one connection in a window is one in some windows, by chance: saved up, the
+// shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 {
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -57,7 +57,7 @@
 				n := all[key%nodes]
 				n.open, n.groups[r.Group] = 1, 1
 				on[n.place(r).id]++
-				if key%20 == 0 && all[0].home(r) != n.home(r) {
+				if key%20 == 0 && homeEntry(all[0], r) != homeEntry(n, r) {
 					t.Fatal("nodes that saw different traffic disagree on a client's place")
 				}
 				clear(n.groups)
@@ -75,6 +75,49 @@
 	}
 }
 
+// When a zone was lost, its clients went to whatever stood behind their entries: twenty groups were then paid for on
+// every server that was left. They go to their group's other places, and while over half is gone there are two.
+func TestGroupsDrawTogetherWhenAZoneIsLost(t *testing.T) {
+	s := testSettings()
+	s.GroupSize, s.Tenants = 80, []Tenant{{Connections: 350}}
+	n := started(t, s, 12)
+	gone := func(id ServerID) bool { return id >= "s06" }
+	count := func(tried bool) (places int) {
+		for g := range 20 {
+			on := map[ServerID]bool{}
+			for k := range 20 {
+				r := &request{Arrival: Arrival{Group: fmt.Sprint("g", g), Key: fmt.Sprint("k", k)}, load: 1}
+				to := n.place(r)
+				for tried && gone(to.id) && len(r.attempts) < 3 { // refused: nobody is there
+					r.attempts = append(r.attempts, attempt{to: to, safe: true})
+					to = n.place(r)
+				}
+				on[to.id] = true
+			}
+			places += len(on)
+		}
+		return places
+	}
+	if got := count(true); got > 20*4 {
+		t.Errorf("20 groups stand in %d places before the list tells", got)
+	}
+	var lost []Server
+	for _, s := range fleetOf(12) {
+		if gone(s.ID) {
+			s.State = Gone
+			lost = append(lost, s)
+		}
+	}
+	n.Handle(time.Second, ListEvent{Kind: ListChange, Version: 2, Servers: lost})
+	if got := count(false); got > 20*2 {
+		t.Errorf("20 groups stand in %d places once the list has told", got)
+	}
+	n.Handle(2*time.Second, ListEvent{Kind: ListChange, Version: 3, Servers: fleetOf(12)})
+	if got := count(false); got < 20*2 {
+		t.Errorf("20 groups stand in %d places when all is back", got)
+	}
+}
+
 // What one node moved off a crowded server, the next one that the client came to put there again.
 func TestWhoComesAgainToAnotherNodeGoesElsewhere(t *testing.T) {
 	s := testSettings()
