In a large fleet a second attempt or a client's retry waits for what all hosts call

Counted over 80 nodes: what came up had taken 2.0 to 2.4 s, at every host alike, while pings at the same hosts took 4 ms; given up were attempts at their aim of 0.3 to 0.8 s. So calls that were given up kept the session store busy, which all set-ups wait on, and what was tried again came in their place.

Ruled out: hosts (pings), the list (every node had it within 1 s of a change), pacing: it went on and off at each node every two seconds, as one or two set-ups move its mean too late. At fault: the time-out in send() (brain/brain.go), whose four recent set-ups are some other minute's where a node sees one in many seconds.

Change: where nodes see too little, an attempt that follows one without success, or a client's own retry, has nine tenths of the time left; the first one still tells a hung host by its aim.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -221,7 +221,12 @@
 	}
 	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, an attempt
 	// given up early is work done for nothing and done again.
-	left = min(left, max(aim, 4*b.setup))
+	// One that has met no answer before, here or by the client's own account, waits on what all servers call.
+	if b.blind() && (r.Retry || len(r.attempts) > 0) {
+		left = left * 9 / 10
+	} else {
+		left = min(left, max(aim, 4*b.setup))
+	}
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
 	b.count(s, r, 1)
 	if b.coldness(s) < 1 {
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -137,6 +137,33 @@
 	}
 }
 
+// Set-ups that all wait on one thing were given up at their aim and tried again, by 80 nodes that had each met one or two
+// slow ones: the calls that were given up kept it busy, and for twenty seconds next to none was served. A server that
+// hangs is told by the first time-out; after it, and when a client tries again, what is slow is common to all.
+func TestSecondAttemptsWaitWhereNodesSeeLittle(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		quota   float64
+		retry   bool
+		patient bool
+	}{{"second attempt", 350, false, true}, {"client's retry", 350, true, true}, {"nodes that see enough", 8000, false, false}} {
+		s := testSettings()
+		s.GroupSize, s.Tenants = 80, []Tenant{{Connections: c.quota}}
+		n, aim := started(t, s, 10), s.Classes[0].SetupAim
+		sent := sends(n.Handle(time.Second, Arrival{ID: "a", Key: "k", Left: 10 * aim, Retry: c.retry}))
+		if len(sent) != 1 || (sent[0].Timeout > 2*aim) != c.retry {
+			t.Fatalf("%s: the first attempt is %v", c.name, sent)
+		}
+		if c.retry {
+			continue
+		}
+		sent = sends(n.Handle(time.Second+aim, Settled{ID: "a", Server: sent[0].Server, Took: aim, Outcome: NoAnswer}))
+		if len(sent) != 1 || (sent[0].Timeout > 5*aim) != c.patient || sent[0].Timeout > 9*aim {
+			t.Errorf("%s: the next attempt is %v", c.name, sent)
+		}
+	}
+}
+
 // The budget of a cold server is one for all nodes together: 160 nodes, each with a part of the traffic, must
 // not send it more connections in a window than the multiple of what its present share is worth.
 func TestManyNodesTogetherKeepAColdServersBudget(t *testing.T) {
