Fleets of twenty-odd nodes ask as before; no quotas, no draw for cold hosts

Causes: apart() held 22 nodes' repeats back for 3 s though the list bore them; a draw per window loses what a node with little traffic had saved. Two more by reading: the most weight seen never faded, so a fleet made smaller for good kept fewer places; where no window is told a cold server got nothing.

Change: calls come apart over 25 nodes only, in full from 75; without quotas the budget is saved up as before; the most weight fades over some fourteen minutes; without a window there is no budget.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,6 +25,7 @@
 	noteSmooth = 0.05 // the part of one load note that moves the means: some twenty notes set them
 	paceOff    = 16   // the multiple of the usual rate at which paced set-ups are let go again
 
+	forgetful             = 4096                   // sweeps in which a larger fleet fades
 	sweepEvery            = 200 * time.Millisecond // the pace of housekeeping
 	sweepToken, waitToken = "sweep", "wait"
 )
@@ -541,6 +542,7 @@
 func (b *Brain) sweep() {
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	b.weigh()
+	b.most -= (b.most - b.weight) / forgetful // a fleet made smaller for good is not short for ever
 	if b.leaving > 0 {
 		b.depart()
 	}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -16,7 +16,7 @@
 	fair       = 1.2  // the multiple of its part of the load that a server near lateness may keep
 	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
 	recovery   = 16   // longest deadlines in which a limit grows back: clients' own measure of long
-	fewCalls   = 8    // so many calls at once the list works through well before they are given up
+	fewCalls   = 25   // so many calls at once the list works through well before they are given up
 	rateSmooth = 0.1  // the part of one second's count that moves the known rate of connections
 )
 
@@ -58,7 +58,9 @@
 		}
 		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
 			s.since, s.limit, s.peak, s.strikes, s.suspect = row.Since, 0, 0, 0, 0
-			s.tokens, s.refill = 0, b.now-b.set.FallWindow
+			if s.tokens, s.refill = 0, b.now-b.set.FallWindow; b.quota <= 0 {
+				s.tokens, s.refill = b.rng.Float64(), b.now
+			}
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
 		if s.state == draining { // called back
@@ -78,7 +80,7 @@
 // too: if they then ask again in as short a time, none of them is ever served. Half the time allowed is
 // twice as fast as the list must bear, whoever the nodes are.
 func (b *Brain) apart(own time.Duration) time.Duration {
-	return max(own, time.Duration(float64(b.set.AskWithin)/2*(1-fewCalls/float64(max(b.set.GroupSize, 1)))))
+	return max(own, time.Duration(float64(b.set.AskWithin)/2*min(1, float64(b.set.GroupSize)/fewCalls/2-0.5)))
 }
 
 // forget drops a server that nothing refers to any more.
@@ -161,11 +163,14 @@
 // shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
-	if share >= 1 {
+	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
 		return true
 	}
 	rate := b.set.FallMultiple * share * max(b.rate, b.quota/2) * s.weight / max(b.weight, s.weight)
-	if b.now >= s.refill+b.set.FallWindow {
+	if b.quota <= 0 { // what this node places is less than servers bear, and saved up where little comes to it
+		s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
+		s.refill = b.now
+	} else if b.now >= s.refill+b.set.FallWindow {
 		s.tokens, s.refill = math.Floor(rate*b.set.FallWindow.Seconds()+b.rng.Float64()), b.now
 	}
 	return s.tokens >= 1
