The operators' address: ready, figures, hosts taken out, drain and resume

Design: internal/management is a pure parser and formatter beside a thin listener. Each call becomes a command of internal/control, whose register and operations it shares (Server.Order): an order by hand gets the fence that holds, so that an agent's numbers are neither refused nor contradicted by it. Counters are atomics with one owner, conn.count, called where a client's final answer is given; targets are written by the loop and read by anyone, so figures wait for nothing. An order waits 0.4 s for the loop at most. Sixteen callers are heard at one time, the longest silent makes room. The way not taken: a second set of handlers straight onto the node, which would hold two opinions of what is in force. The module: Leave says from when on nothing new is taken (a front that has not noticed yet is served) and whether what stands stays (where packets pass through). A host called back is cold from that moment: operators restart it meanwhile, and the list tells of that later. PING on a kept connection is answered as long as it is asked at a pace; only haste ends it.

Tests: calls, silent callers, a host out whatever the list says, drain and back in both modes, figures against the ledgers of clients and hosts.

--- a/brain/api.go
+++ b/brain/api.go
@@ -174,11 +174,14 @@
 		From int
 		Data []byte
 	}
-	// Leave says that the node itself drains, or no more: nothing new is taken in, and what stands is sent away.
+	// Leave says that the node itself drains, or no more: nothing new is taken in from a time on, and what stands is sent
+	// away.
 	Leave struct {
 		On    bool
 		By    time.Duration // clock time by which all of it is to be gone
+		Shut  time.Duration // clock time from which nothing new is taken
 		After time.Duration // when those who are turned away may come again
+		Stay  bool          // what stands stays: it goes on by way of other nodes
 	}
 	// ClientGone ends a request: nothing more is owed for it.
 	ClientGone struct{ ID RequestID }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -163,8 +163,8 @@
 // that would come too late for the attempt itself.
 func (b *Brain) try(r *request) {
 	left, wait := r.deadline-b.now, b.nextSend-b.now
-	if b.leaving > 0 && !r.MidFlow { // of what is mid-flow the client was answered long ago
-		b.giveUp(r, b.toldOff)
+	if b.leaving.On && b.now >= b.leaving.Shut && !r.MidFlow { // of what is mid-flow the client was answered long ago
+		b.giveUp(r, b.leaving.After)
 	} else if b.gap <= 0 || wait <= 0 || r.MidFlow && len(r.attempts) == 0 {
 		b.nextSend = b.now + b.gap
 		b.send(r, left)
@@ -488,13 +488,10 @@
 
 // leave begins or ends the node's own drain. What waits for its turn or a report is answered at once.
 func (b *Brain) leave(e Leave) {
-	b.leaving, b.toldOff = 0, e.After
-	if e.On {
-		b.leaving = max(e.By, 1)
-		for _, r := range b.held {
-			if !r.answered && !r.MidFlow {
-				b.giveUp(r, b.toldOff)
-			}
+	b.leaving = e
+	for _, r := range b.held {
+		if e.On && b.now >= e.Shut && !r.answered && !r.MidFlow {
+			b.giveUp(r, e.After)
 		}
 	}
 }
@@ -503,7 +500,7 @@
 // load first: all at once would come down on the other nodes as a wave.
 func (b *Brain) depart() {
 	on := b.standing(nil)
-	steps := max((b.leaving-b.now)/sweepEvery, 1)
+	steps := max((b.leaving.By-b.now)/sweepEvery, 1)
 	for _, r := range on[:(len(on)+int(steps)-1)/int(steps)] {
 		b.emit(Move{r.ID})
 		b.end(r)
@@ -543,7 +540,7 @@
 	b.emit(Wake{b.now + sweepEvery, sweepToken})
 	b.weigh()
 	b.most -= (b.most - b.weight) / forgetful // a fleet made smaller for good is not short for ever
-	if b.leaving > 0 {
+	if b.leaving.On && !b.leaving.Stay {
 		b.depart()
 	}
 	// What was sent since the last trouble must have had the time to tell: easing sooner feeds a jam again.
--- a/brain/state.go
+++ b/brain/state.go
@@ -58,7 +58,7 @@
 	groups               map[string]int
 	tenants              []int // open connections of each, the last for requests of none
 
-	leaving, toldOff time.Duration // all is to be gone by leaving, 0 for none; toldOff: when others may come again
+	leaving Leave // the node's own drain
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
@@ -128,4 +128,10 @@
 	return out
 }
 
+// Avoids reports whether a server gets nothing new now, because it fails attempts or was told to drain.
+func (b *Brain) Avoids(id ServerID) bool {
+	s := b.servers[id]
+	return s == nil || s.state == inactive || s.state == draining || b.shunned(s) && !b.trusting
+}
+
 func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,12 @@
 	Host      string        `json:"host,omitempty"` // of host-drain and host-resume
 	Within    time.Duration `json:"within_ns,omitempty"`
 	After     time.Duration `json:"retry_after_ns,omitempty"` // when those who are turned away may come again
+	// Open is how long a node that drains still takes whom the front sends that has not noticed yet, and Keep says that
+	// what stands stays where packets pass through: it goes on by way of other nodes when this one ends.
+	Open time.Duration `json:"open_ns,omitempty"`
+	Keep bool          `json:"keep,omitempty"`
+	// Known has a word on a host that nobody has refused, instead of held until it comes.
+	Known bool `json:"known,omitempty"`
 }
 
 // The bounds of a command.
@@ -51,6 +58,8 @@
 		return errors.New("fence: it is above 0")
 	case c.Within < 0 || c.Within > mostWithin:
 		return fmt.Errorf("within_ns: %s is not between 0 and %s", c.Within, mostWithin)
+	case c.Open < 0 || c.Open > mostWithin:
+		return fmt.Errorf("open_ns: %s is not between 0 and %s", c.Open, mostWithin)
 	case c.After < 0 || c.After > mostAfter:
 		return fmt.Errorf("retry_after_ns: %s is not between 0 and %s", c.After, mostAfter)
 	}
@@ -119,7 +128,9 @@
 	boot    string
 	scopes  map[string]held
 	answers map[string]given
+	undo    func()   // takes back what Take has noted last
 	order   []string // of answers, the oldest first
+	orders  uint64   // given by hand
 }
 
 type held struct {
@@ -156,6 +167,12 @@
 		return a, false, fmt.Errorf("host: words on %d hosts are held, no more can be", mostScopes)
 	}
 	a = Answer{Verdict: Done, Fence: c.Fence, Boot: r.boot}
+	r.undo = func() { // the same command is to be tried again, not to be known
+		if r.scopes[c.Host] = was; !known {
+			delete(r.scopes, c.Host)
+		}
+		delete(r.answers, id)
+	}
 	switch {
 	case known && c.Fence < was.fence:
 		a.Verdict, a.Fence = Refused, was.fence
@@ -170,10 +187,34 @@
 		delete(r.answers, r.order[0])
 		r.order = r.order[1:]
 	}
-	r.answers[id], r.order = given{c, a}, append(r.order, id)
+	r.answers[id] = given{c, a}
+	if !slices.Contains(r.order[max(len(r.order)-1, 0):], id) { // one that was taken back has its place already
+		r.order = append(r.order, id)
+	}
 	return a, act, nil
 }
 
+// Order makes a command of a front whose callers know no operations and fences: an order given by hand, after all that
+// has come so far. It gets an operation of its own and the fence that holds, so that whoever gives orders by number is
+// neither refused nor contradicted by it. undo takes back what was noted, for an order that could not be carried out.
+func (r *Register) Order(c Command) (full Command, undo func(), err error) {
+	was, known := r.scopes[c.Host]
+	r.orders++
+	c.Operation, c.Fence = fmt.Sprintf("by-hand-%s-%d", r.boot, r.orders), max(was.fence, 1)
+	if err := c.Check(); err != nil {
+		return c, nil, err
+	}
+	if !known && len(r.scopes) >= mostScopes {
+		return c, nil, fmt.Errorf("words on %d hosts are held, no more can be", mostScopes)
+	}
+	r.scopes[c.Host] = held{c.Operation, was.fence, c.Kind}
+	return c, func() {
+		if r.scopes[c.Host] = was; !known {
+			delete(r.scopes, c.Host)
+		}
+	}, nil
+}
+
 // Holds tells which operation holds for the instance.
 func (r *Register) Holds() (operation string, fence uint64) {
 	h := r.scopes[""]
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -20,7 +20,9 @@
 // Instance is what the server speaks for. Its methods may wait for the instance's loop, never for a peer.
 type Instance interface {
 	Status() Status
-	Do(Command) // carries a command out: from its return on nothing new is begun that it forbids
+	// Do carries a command out: from its return on nothing new is begun that it forbids. An error says that it does not
+	// hold.
+	Do(Command) error
 }
 
 // Role is what a peer may do.
@@ -176,13 +178,33 @@
 		return a, err
 	}
 	if act {
-		s.instance.Do(c)
+		if err := s.instance.Do(c); err != nil {
+			s.register.undo()
+			return a, err
+		}
 		s.log.Info("a command took effect", zap.String("operation", c.Operation), zap.Uint64("fence", c.Fence),
 			zap.String("kind", c.Kind), zap.String("host", c.Host))
 	}
 	return a, nil
 }
 
+// Order takes an order of a front whose callers have no operations and fences. It is one of the commands, without
+// Operation and Fence.
+func (s *Server) Order(c Command) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, undo, err := s.register.Order(c)
+	if err != nil {
+		return err
+	}
+	if err := s.instance.Do(c); err != nil {
+		undo()
+		return err
+	}
+	s.log.Info("an order took effect", zap.String("operation", c.Operation), zap.String("kind", c.Kind), zap.String("host", c.Host))
+	return nil
+}
+
 // watch tells the status and each change of it, a line each, with a beat while nothing changes.
 func (s *Server) watch(w http.ResponseWriter, q *http.Request) {
 	select {
--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"onyxstream/brain"
@@ -71,8 +72,8 @@
 
 // attempt makes one attempt: one dial, one line, one answer. On success the host's connection is up,
 // upLine is what the host gave and in holds what came behind it. On failure the connection is closed.
-// may is asked between connect and write, since a send counts from its first byte.
-func attempt(ctx context.Context, a node.Attempt, o *wire.Opening, connect time.Duration, may func() error,
+// whole counts the lines that were written to their end; may is asked between connect and write, since a send counts from its first byte.
+func attempt(ctx context.Context, a node.Attempt, o *wire.Opening, connect time.Duration, whole *atomic.Uint64, may func() error,
 	in *wire.Inbox) (host *net.TCPConn, upLine []byte, failed *AttemptError) {
 	by := time.Now().Add(a.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, by)
@@ -101,6 +102,7 @@
 	if n, err := host.Write(line); n < len(line) {
 		return fail(Writing, err)
 	}
+	whole.Add(1)
 	for {
 		line, ok, err := in.Next()
 		if err != nil {
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -57,6 +57,7 @@
 	met     atomic.Bool   // it was read from: what it had said by then is known
 
 	longest time.Duration // that a message waited for its answer; the relay's own
+	counted atomic.Bool   // its final answer is among the figures
 
 	moving   atomic.Bool
 	leftFIN  atomic.Bool // the client ended its side
@@ -147,8 +148,10 @@
 	c.id = brain.RequestID(c.open.ID)
 	switch within, still := c.d.admit(c); {
 	case !still:
+		c.count(failed)
 		return
 	case !within:
+		c.count(refused)
 		c.d.log.Info("a client is refused: the sockets are used up")
 		c.finish(wire.Busy(min(time.Second, c.d.cfg.MaxRetryAfter)))
 		return
@@ -173,9 +176,11 @@
 
 // hello reads the first line; false when there is nothing more to do. A half line or one that is no
 // OPEN ends with an answer or the end of the connection, never with a client that waits for ever. The time for it
-// runs from the start, whatever comes meanwhile: one that trickles would hold its descriptor as long as it likes.
+// runs from the start, or the last PING, whatever comes meanwhile: one that trickles would hold its descriptor as long
+// as it likes. A front may keep its connection and ask on it for as long as it does so at a pace.
 func (c *conn) hello(in *wire.Inbox) bool {
 	_ = c.client.SetReadDeadline(c.since.Add(firstLine))
+	last := time.Time{} // when it asked before
 	for pings := 0; ; {
 		line, ok, err := in.Next()
 		if err == nil && !ok {
@@ -193,7 +198,11 @@
 		switch {
 		case err != nil:
 		case kind == wire.HelloPing:
-			if pings++; pings > mostPings {
+			now := time.Now()
+			if hasty := len(in.Rest()) > 0 || now.Sub(last) < turn; hasty {
+				pings++
+			}
+			if last = now; pings > mostPings {
 				err = errors.New("too many PINGs")
 			}
 		case !c.d.node.Knows(&c.open):
@@ -204,6 +213,7 @@
 		switch {
 		case err != nil:
 			c.d.log.Info("a client's first line can't be served", zap.Error(err))
+			c.count(failed)
 			c.finish(wire.Err)
 			return false
 		case kind == wire.HelloPing:
@@ -211,9 +221,10 @@
 			if c.d.node.Leaving() { // not ready: the front is to deal it no one
 				pong = wire.Busy(0)
 			}
-			if _, err := io.WriteString(c.client, pong); err != nil {
+			if _, err := io.WriteString(c.client, pong); err != nil || !c.d.asked(c) {
 				return false
 			}
+			_ = c.client.SetReadDeadline(last.Add(firstLine))
 		default:
 			if c.open.Wait <= 0 {
 				c.open.Wait = c.d.cfg.Patience
@@ -256,6 +267,7 @@
 			c.d.log.Info("a client's first line can't be served", zap.Error(errSpoke))
 		}
 		if !final || spoke && !said {
+			c.count(failed)
 			c.finish(wire.Err)
 		}
 	}()
@@ -279,6 +291,11 @@
 		case cmd := <-c.cmds:
 			if cmd.send == nil {
 				final, said = true, true
+				if cmd.reply == wire.Err {
+					c.count(failed)
+				} else {
+					c.count(refused)
+				}
 				c.finish(cmd.reply)
 				return
 			}
@@ -308,6 +325,7 @@
 		c.d.log.Debug("a connection is up", zap.String("request", c.open.ID), zap.String("host", a.Addr),
 			zap.Duration("took", took), zap.Bool("mid", c.open.Mid), zap.Bool("again", c.open.Again),
 			zap.String("key", c.open.Key), zap.String("group", c.open.Group), zap.Int("attempt", a.N))
+		c.count(brought)
 		c.d.node.Opened(c.id, c, a.N, took)
 		c.relay(host, &in, upLine, a.N, start)
 		return true
@@ -349,7 +367,7 @@
 	case <-c.verdict: // an answer to an attempt that did not wait for it
 	default:
 	}
-	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, func() error {
+	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error {
 		c.d.node.Connected(c.id, c, a.N)
 		select {
 		case ok := <-c.verdict:
@@ -410,7 +428,7 @@
 		c.withdraw, c.running = cancel, 0
 		c.mu.Unlock()
 		host, upLine, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: max(c.open.Wait, c.d.cfg.Patience)},
-			&c.open, c.d.cfg.ConnectTimeout, func() error { return nil }, &in)
+			&c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error { return nil }, &in)
 		cancel()
 		if failed == nil {
 			if !c.raise(host) {
@@ -419,6 +437,7 @@
 				return true
 			}
 			*taken, *out = 1, 1
+			c.count(brought)
 			c.d.node.Inherit(&c.open, c)
 			c.relay(host, &in, upLine, 0, start)
 			*out = 0
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -27,6 +27,8 @@
 	Patience       time.Duration // a client that does not say how long it waits is taken to wait this long
 	MaxRetryAfter  time.Duration // the longest advice that clients follow; 0 where none may be given
 	Reports        bool          // hosts tell their load when probed
+	Classes        []string      // that clients can name
+	Others         int           // descriptors that others of the process need
 }
 
 // Descriptors of the budget: a client's connection takes two, its own and its host's, from when it has said what it
@@ -42,7 +44,7 @@
 const (
 	firstLine   = 2 * time.Second       // a connection that has said nothing whole by then is closed
 	turn        = 20 * time.Millisecond // a client that says nothing for so long may be closed for another one
-	mostPings   = 4                     // of one connection: nodes are asked once whether they are ready
+	mostPings   = 4                     // of one connection that come at once or in haste, sooner than a turn apart
 	lingerFor   = 500 * time.Millisecond
 	mostLinger  = 64 << 10              // bytes that are read of a client after its last word
 	acceptPause = 20 * time.Millisecond // after an accept that failed, as at the descriptor limit
@@ -50,9 +52,10 @@
 
 // Driver owns the sockets of a node.
 type Driver struct {
-	cfg  Config
-	log  *zap.Logger
-	node *node.Node
+	cfg     Config
+	log     *zap.Logger
+	node    *node.Node
+	figures *figures
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -66,7 +69,9 @@
 
 // New makes a driver. Attach must follow before Serve.
 func New(cfg Config, log *zap.Logger) *Driver {
-	return &Driver{cfg: cfg, log: log, early: list.New(), conns: map[*conn]struct{}{}, pingers: map[brain.ServerID]*pinger{}}
+	cfg.Sockets -= cfg.Others
+	return &Driver{cfg: cfg, log: log, figures: newFigures(cfg.Classes), early: list.New(), conns: map[*conn]struct{}{},
+		pingers: map[brain.ServerID]*pinger{}}
 }
 
 // Attach names the node that decides.
@@ -156,6 +161,7 @@
 		c.early = nil
 	}
 	if c.charged {
+		d.figures.taken.Add(-1)
 		d.used--
 		c.charged = false
 	}
@@ -176,6 +182,7 @@
 	}
 	d.release(c)
 	d.used++
+	d.figures.taken.Add(1)
 	c.charged = true
 	for d.early.Len() > max(d.heard(), 0) {
 		d.shed(d.early.Front().Value.(*conn))
@@ -183,6 +190,18 @@
 	return true, true
 }
 
+// asked notes that a client has asked how the node is, and may ask again; false where it was closed for another one.
+func (d *Driver) asked(c *conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.early == nil {
+		return false
+	}
+	c.since = time.Now()
+	d.early.MoveToBack(c.early)
+	return true
+}
+
 // dismiss notes that a client has had its last word, and no host is held for it any more.
 func (d *Driver) dismiss(c *conn) {
 	d.mu.Lock()
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -17,6 +17,7 @@
 // Config is what the platform tells a node.
 type Config struct {
 	Name, Listen, Discovery string
+	Management              string // where operators call; "" for nowhere
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   wire.Catalog
@@ -28,8 +29,10 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	// Management is optional: without it nothing listens there.
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -43,13 +46,14 @@
 
 // Load reads the file that PROXY_CONFIG names. What it lacks is taken from the variables beside it.
 func Load() (Config, error) {
-	return load(file{Name: os.Getenv("PROXY_NAME"), Listen: os.Getenv("PROXY_LISTEN"), Discovery: os.Getenv("PROXY_DISCOVERY")})
+	return load(file{Name: os.Getenv("PROXY_NAME"), Listen: os.Getenv("PROXY_LISTEN"), Discovery: os.Getenv("PROXY_DISCOVERY"),
+		Management: os.Getenv("PROXY_MANAGEMENT")})
 }
 
 // Reload reads the file again, whole or not at all: on an error the old configuration holds. The address of
 // discovery can change and must be in the file; the names of fields that differ and can't change are in left.
 func (old Config) Reload() (next Config, left []string, err error) {
-	if next, err = load(file{Name: old.Name, Listen: old.Listen}); err != nil {
+	if next, err = load(file{Name: old.Name, Listen: old.Listen, Management: old.Management}); err != nil {
 		return old, nil, err
 	}
 	next.Settings.Seed = old.Settings.Seed // each start has its own
@@ -57,7 +61,8 @@
 		name string
 		same bool
 	}{
-		{"name", next.Name == old.Name}, {"listen", next.Listen == old.Listen}, {"limits.cores", next.Cores == old.Cores},
+		{"name", next.Name == old.Name}, {"listen", next.Listen == old.Listen},
+		{"management", next.Management == old.Management}, {"limits.cores", next.Cores == old.Cores},
 		{"limits.memory_mb", next.MemoryMB == old.MemoryMB}, {"limits.sockets", next.Sockets == old.Sockets},
 		{"settings", reflect.DeepEqual(next.Settings, old.Settings)},
 	} {
@@ -97,7 +102,11 @@
 	if err != nil {
 		return wrong("seed", fmt.Errorf("%q is no hexadecimal figure of 64 bits", f.Seed))
 	}
-	for _, addr := range []struct{ field, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+	addrs := []struct{ field, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}}
+	if f.Management != "" {
+		addrs = append(addrs, struct{ field, value string }{"management", f.Management})
+	}
+	for _, addr := range addrs {
 		if _, err := net.ResolveTCPAddr("tcp", addr.value); err != nil || addr.value == "" {
 			return wrong(addr.field, fmt.Errorf("%q is no address and port", addr.value))
 		}
@@ -123,6 +132,6 @@
 	} else if err != nil {
 		return wrong("settings", err)
 	}
-	return Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+	return Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known, Settings: set}, nil
 }
--- /dev/null
+++ b/internal/lifecycle/operated.go
@@ -0,0 +1,64 @@
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"onyxstream/internal/control"
+	"onyxstream/internal/driver"
+	"onyxstream/internal/management"
+	"onyxstream/internal/node"
+)
+
+const (
+	// frontNotices is when the front has surely noticed a drain and sends no one new: until then whoever comes is served.
+	frontNotices = time.Second
+	// awayWithin is by when a drain has sent away what stands.
+	awayWithin = 3 * time.Second
+)
+
+// operated is a node as the operators' line calls see it: the operations of the control listener, called by hand.
+type operated struct {
+	orders *control.Server
+	node   *node.Node
+	driver *driver.Driver
+	stop   context.Context // ends when the node is told to stop
+}
+
+// Ready tells whether this process can serve. A node that drains can: its process is well, and the front is told of the
+// drain on its own way.
+func (o *operated) Ready() error {
+	if o.stop.Err() != nil {
+		return errors.New("this process stops")
+	}
+	return nil
+}
+
+// Figures tells what was counted. It waits for nothing but the counters.
+func (o *operated) Figures() management.Figures {
+	f := management.Figures{Dispatches: o.driver.Dispatches(), Concurrent: o.driver.Taken()}
+	for _, r := range o.driver.Replies() {
+		f.Replies = append(f.Replies, management.Replies{Class: r.Class, Success: r.Success, Overload: r.Refused, Error: r.Error})
+	}
+	f.Targets, f.Disabled = o.node.Targets()
+	return f
+}
+
+// HostOut takes a host out.
+func (o *operated) HostOut(id string) error {
+	return o.orders.Order(control.Command{Kind: control.HostDrain, Host: id, Known: true})
+}
+
+// HostBack uses a host again.
+func (o *operated) HostBack(id string) error {
+	return o.orders.Order(control.Command{Kind: control.HostResume, Host: id, Known: true})
+}
+
+// Drain has the node drain. What stands is sent away but where packets pass through.
+func (o *operated) Drain() error {
+	return o.orders.Order(control.Command{Kind: control.Drain, Within: awayWithin, Open: frontNotices, Keep: true})
+}
+
+// Resume ends a drain.
+func (o *operated) Resume() error { return o.orders.Order(control.Command{Kind: control.Resume}) }
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -127,15 +127,15 @@
 }
 
 // Do carries a command out.
-func (c *controlled) Do(cmd control.Command) {
+func (c *controlled) Do(cmd control.Command) error {
 	switch cmd.Kind {
 	case control.Drain:
-		c.node.Leave(true, time.Now().Add(cmd.Within), cmd.After)
+		now := time.Now()
+		return c.node.Leave(node.Away{By: now.Add(cmd.Within), Shut: now.Add(cmd.Open), After: cmd.After, Keep: cmd.Keep})
 	case control.Resume:
-		c.node.Leave(false, time.Time{}, 0)
+		return c.node.Stay()
 	case control.HostDrain, control.HostResume:
-		c.node.Word(brain.ServerID(cmd.Host), cmd.Kind == control.HostDrain)
-	default:
-		panic(fmt.Sprintf("a command of kind %q was let through", cmd.Kind))
+		return c.node.Word(brain.ServerID(cmd.Host), cmd.Kind == control.HostDrain, cmd.Known)
 	}
+	panic(fmt.Sprintf("a command of kind %q was let through", cmd.Kind))
 }
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -18,6 +19,7 @@
 	"onyxstream/brain"
 	"onyxstream/internal/control"
 	"onyxstream/internal/driver"
+	"onyxstream/internal/management"
 	"onyxstream/internal/node"
 )
 
@@ -73,14 +75,25 @@
 		_ = l.Close()
 		return fmt.Errorf("control: %w", err)
 	}
+	var operators net.Listener
+	if cfg.Management != "" {
+		if operators, err = driver.Listen(ctx, cfg.Management); err != nil {
+			_ = l.Close()
+			return fmt.Errorf("management: %w", err)
+		}
+	}
 	log.Info("started", zap.String("listen", cfg.Listen), zap.Int("hosts known", len(cfg.Known.Members)))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.Run(ctx) })
 	g.Go(func() error { return y.Run(ctx) })
 	g.Go(func() error { return d.Serve(l) })
+	orders := control.NewServer(&controlled{cfg.Name, n, time.Now(), stop}, newBoot(), log)
 	if len(asked) > 0 {
-		s := control.NewServer(&controlled{cfg.Name, n, time.Now(), stop}, newBoot(), log)
-		g.Go(func() error { return s.Serve(ctx, asked...) })
+		g.Go(func() error { return orders.Serve(ctx, asked...) })
+	}
+	if operators != nil {
+		s := management.NewServer(&operated{orders: orders, node: n, driver: d, stop: stop}, log)
+		g.Go(func() error { return s.Serve(ctx, operators) })
 	}
 	g.Go(func() error {
 		follow(ctx, again, cfg, n, log)
@@ -148,13 +161,16 @@
 }
 
 func newDriver(cfg Config, log *zap.Logger) *driver.Driver {
-	patience := time.Second
+	patience, others := time.Second, 0
+	if cfg.Management != "" {
+		others = management.Callers + 2 // the listener, and one just accepted
+	}
 	for _, c := range cfg.Settings.Classes {
 		patience = max(patience, c.Deadline)
 	}
 	return driver.New(driver.Config{Sockets: cfg.Sockets, ConnectTimeout: cfg.Settings.ConnectTimeout,
 		AnswerSlack: cfg.Settings.AnswerSlack, Patience: patience, MaxRetryAfter: cfg.Settings.MaxRetryAfter,
-		Reports: cfg.Settings.Reports}, log)
+		Reports: cfg.Settings.Reports, Classes: cfg.Settings.ClassNames, Others: others}, log)
 }
 
 // logger writes lines to standard error. Of one message only the first few of a second and then every
--- /dev/null
+++ b/internal/management/call_test.go
@@ -0,0 +1,63 @@
+package management
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestWhatACallMayBe(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		want Call
+		bad  string // part of the reason
+	}{
+		{"ready", Call{Kind: Ready}, ""},
+		{"show-stat", Call{Kind: ShowStat}, ""},
+		{"drain", Call{Kind: Drain}, ""},
+		{"resume", Call{Kind: Resume}, ""},
+		{"disable-server s-1", Call{Out, "s-1"}, ""},
+		{" enable-server  s-1 ", Call{Back, "s-1"}, ""},
+		{"", Call{}, "empty"},
+		{"   ", Call{}, "empty"},
+		{"READY", Call{}, "no such call"},
+		{"reboot", Call{}, "no such call"},
+		{"ready now", Call{}, "takes nothing more"},
+		{"disable-server", Call{}, "id of one host"},
+		{"disable-server a b", Call{}, "id of one host"},
+		{"enable-server " + strings.Repeat("x", mostName+1), Call{}, "at most"},
+		{"drain\x00", Call{}, "no plain text"},
+		{"dis\xc3\xa9able-server a", Call{}, "no plain text"},
+		{"ready\rready", Call{}, "no plain text"},
+	} {
+		got, err := Parse(c.line)
+		if c.bad == "" && (err != nil || got != c.want) || c.bad != "" && (err == nil || !strings.Contains(err.Error(), c.bad)) {
+			t.Errorf("%q is read as %+v, %v", c.line, got, err)
+		}
+	}
+}
+
+// Whatever comes, the answer is one line: a caller that plants line ends in its call must not write the answer.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"ready", "disable-server a", "\r\nYES", "disable-server \x00", strings.Repeat("a", 600)} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		c, err := Parse(line)
+		if (c.Host != "") != (err == nil && (c.Kind == Out || c.Kind == Back)) {
+			t.Errorf("%q is read as %+v, %v", line, c, err)
+		}
+		if a := answer(err); strings.Count(a, "\n") != 1 || strings.Count(a, "\r") != 1 || !strings.HasPrefix(a, "YES") && !strings.HasPrefix(a, "NO ") {
+			t.Errorf("%q is answered %q", line, a)
+		}
+	})
+}
+
+func TestFiguresAsText(t *testing.T) {
+	f := Figures{Replies: []Replies{{"chat", 812, 3, 1}, {"push", 0, 0, 0}}, Dispatches: 820, Concurrent: 14, Targets: 9, Disabled: 2}
+	want := "YES|svc.replies.chat.success=812|svc.replies.chat.overload=3|svc.replies.chat.error=1|" +
+		"svc.replies.push.success=0|svc.replies.push.overload=0|svc.replies.push.error=0|svc.dispatches=820|" +
+		"svc.concurrent=14|svc.targets=9|svc.targets_disabled=2|END|"
+	if got := strings.ReplaceAll(string(f.Text()), "\r\n", "|"); got != want {
+		t.Errorf("got %s", got)
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -18,6 +18,8 @@
 	state  brain.ServerState
 	toldAt time.Time   // when it was told to drain or be gone
 	listed wire.Member // as the list has it
+	out    bool        // the list does not have it any more
+	back   int64       // when an operator called it back, Unix time in milliseconds; 0 for never
 
 	// How messages fare there, see pulse.
 	took   []time.Duration
@@ -58,10 +60,10 @@
 		if m.addr = e.Addr; m.since != e.UpSince { // a host that has restarted is not what it was
 			m.since, m.best, m.doubt, m.pile = e.UpSince, 0, 0, 0
 		}
-		m.listed = e
+		m.listed, m.out = e, e.Phase == wire.Deleted
 		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
-			Since: time.Duration(e.UpSince) * time.Millisecond}
+			Since: time.Duration(max(e.UpSince, m.back)) * time.Millisecond}
 		if z, ok := n.zones[e.Zone]; ok {
 			s.Zone = z
 		}
@@ -70,12 +72,14 @@
 	for id, m := range n.members {
 		if kind != brain.ListChange && !named[id] {
 			m.tell(brain.Gone, now)
+			m.out = true
 		}
 		if m.state == brain.Gone && now.Sub(m.toldAt) > forgetAfter {
 			delete(n.members, id)
 		}
 	}
 	n.decide(ev)
+	n.tally()
 }
 
 // tell notes a member's state; the grace runs from the first word that it leaves.
@@ -106,6 +110,7 @@
 // second, the time that messages take at each host.
 func (n *Node) pulse(now time.Time) {
 	n.tick++
+	n.tally() // what the module avoids changes with time
 	if !n.set.AskList && !n.watching && now.After(n.watchAt) {
 		n.watch()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,9 @@
 	reply   chan place
 	view    chan View
 	text    string
+	away    *Away
+	must    bool
+	verdict chan error
 }
 
 // New makes a node that knows its settings, the list as it was last held, and where to ask for it.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -17,28 +19,55 @@
 
 // orders is what holds.
 type orders struct {
-	leaving   atomic.Bool // the node drains: it is not ready
-	leavingAt time.Time   // since when
-	words     map[brain.ServerID]bool
+	leaving atomic.Bool // the node drains: it is not ready
+	shutAt  time.Time   // from when on it takes nothing new; zero while it does not drain
+	words   map[brain.ServerID]bool
+
+	// What holds now, for whoever asks without waiting for the loop.
+	targets, avoided atomic.Int64
 }
 
 // mostWords bounds the hosts of which an operator's word is held.
 const mostWords = 1024
 
-// Leave has the node take nothing new and send away what stands, all by a time; those turned away are told to come
-// again after so long. Off ends that. It returns once the loop has taken it in, or has ended.
-func (n *Node) Leave(on bool, by time.Time, after time.Duration) {
-	n.leaving.Store(on)
-	n.wait(event{kind: evLeave, until: by, took: after, attempt: flag(on)})
+// orderWithin bounds the wait for the loop: whoever gives an order has the answer within half a second.
+const orderWithin = 400 * time.Millisecond
+
+// Why an order does not hold.
+var (
+	ErrBusy    = errors.New("the node did not take it in in time, ask again")
+	ErrEnded   = errors.New("the node ends")
+	ErrUnknown = errors.New("no host has this id")
+	ErrFull    = fmt.Errorf("words on %d hosts are held, no more can be", mostWords)
+)
+
+// Away is how a node drains.
+type Away struct {
+	By    time.Time     // what stands is sent away by then
+	Shut  time.Time     // from then on nothing new is taken; until then the front may not have noticed
+	After time.Duration // those turned away are told to come again after so long
+	Keep  bool          // what stands stays where packets pass through
+}
+
+// Leave has the node drain. It returns once the loop has taken it in.
+func (n *Node) Leave(a Away) error {
+	return n.wait(event{kind: evLeave, away: &a})
 }
 
+// Stay ends a drain, at any point of it.
+func (n *Node) Stay() error { return n.wait(event{kind: evLeave}) }
+
+// Targets tells how many hosts the list has, and how many of them the node avoids: by an operator's word, by the
+// list's, or by the module's choice. It waits for nothing.
+func (n *Node) Targets() (listed, avoided int64) { return n.targets.Load(), n.avoided.Load() }
+
 // Leaving reports whether the node drains.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
 // Word is an operator's word that a host drains, whatever the list says, or the end of that. A host that is not known
-// yet is held to it when it comes. It returns once the loop has taken it in, or has ended.
-func (n *Node) Word(id brain.ServerID, drains bool) {
-	n.wait(event{kind: evWord, id: brain.RequestID(id), attempt: flag(drains)})
+// yet is held to it when it comes; with known that is an error. It returns once the loop has taken it in.
+func (n *Node) Word(id brain.ServerID, drains, known bool) error {
+	return n.wait(event{kind: evWord, id: brain.RequestID(id), attempt: flag(drains), must: known})
 }
 
 func flag(on bool) int {
@@ -48,13 +77,25 @@
 	return 0
 }
 
-// wait posts an event and waits until the loop has handled it.
-func (n *Node) wait(e event) {
-	e.reply = make(chan place, 1)
-	n.post(e)
+// wait posts an event and waits until the loop has handled it, and says whether it holds.
+func (n *Node) wait(e event) error {
+	e.verdict = make(chan error, 1)
+	late := time.NewTimer(orderWithin)
+	defer late.Stop()
+	select {
+	case n.events <- e:
+	case <-late.C:
+		return ErrBusy
+	case <-n.done:
+		return ErrEnded
+	}
 	select {
-	case <-e.reply:
+	case err := <-e.verdict:
+		return err
+	case <-late.C:
+		return ErrBusy
 	case <-n.done:
+		return ErrEnded
 	}
 }
 
@@ -87,35 +128,58 @@
 func (n *Node) order(e event) {
 	switch e.kind {
 	case evLeave:
-		on := e.attempt == 1
-		if on && n.leavingAt.IsZero() {
-			n.leavingAt = time.Now()
-		} else if !on {
-			n.leavingAt = time.Time{}
+		n.leaving.Store(e.away != nil)
+		if n.shutAt = (time.Time{}); e.away == nil {
+			n.decide(brain.Leave{})
+		} else {
+			n.shutAt = e.away.Shut
+			n.decide(brain.Leave{On: true, By: n.at(e.away.By), Shut: n.at(e.away.Shut), After: e.away.After,
+				Stay: e.away.Keep && n.set.Pass})
 		}
-		n.decide(brain.Leave{On: on, By: n.at(e.until), After: e.took})
+		e.verdict <- nil
 	case evWord:
-		n.word(brain.ServerID(e.id), e.attempt == 1)
+		e.verdict <- n.word(brain.ServerID(e.id), e.attempt == 1, e.must)
 	case evView:
 		e.view <- n.view() // has room
-		return
 	}
-	e.reply <- place{}
 }
 
-func (n *Node) word(id brain.ServerID, drains bool) {
+func (n *Node) word(id brain.ServerID, drains, known bool) error {
+	m := n.members[id]
 	switch {
-	case !drains:
-		delete(n.words, id)
-	case len(n.words) >= mostWords:
+	case known && m == nil && !n.words[id]:
+		return ErrUnknown
+	case drains && !n.words[id] && len(n.words) >= mostWords:
 		n.log.Warn("words on too many hosts are held: this one is not", zap.String("host", string(id)))
-		return
-	default:
+		return ErrFull
+	case drains:
 		n.words[id] = true
+	case n.words[id]:
+		delete(n.words, id)
+		if m != nil { // whoever takes a host out does so to restart it, and the list tells of that only later
+			m.back = time.Now().UnixMilli()
+		}
 	}
-	if m := n.members[id]; m != nil && m.state != brain.Gone {
+	if m != nil && m.state != brain.Gone {
 		n.list(&wire.Catalog{Revision: n.revision, Members: []wire.Member{m.listed}}, brain.ListChange)
 	}
+	return nil
+}
+
+// tally counts the hosts of the list, and those that the node avoids now.
+func (n *Node) tally() {
+	listed, avoided := int64(0), int64(0)
+	for id, m := range n.members {
+		if m.out {
+			continue
+		}
+		listed++
+		if m.state != brain.Live || n.brain.Avoids(id) {
+			avoided++
+		}
+	}
+	n.targets.Store(listed)
+	n.avoided.Store(avoided)
 }
 
 // worded is the state that holds for a member: the list's, or what an operator says of it.
@@ -128,7 +192,7 @@
 
 // late reports whether the node drains, and its own grace has run: nothing new may be written any more.
 func (n *Node) late() bool {
-	return !n.leavingAt.IsZero() && time.Since(n.leavingAt) >= n.set.DrainGrace-graceMargin
+	return !n.shutAt.IsZero() && time.Since(n.shutAt) >= n.set.DrainGrace-graceMargin
 }
 
 func (n *Node) view() View {
