Upgrades: the listening socket is inherited, words hold over them, limits are shared

Need: a second process beside the first crashed (exit 1): it listened at an address that the platform holds.

Design: internal/handover keeps one document in $TMPDIR, a sum over it, replaced by rename under a lock that dies with its holder; each change has a serial, so that all processes bring the same order of words into force, and each looks ten times a second. A lock on a file of its own marks each process that lives, with the descriptors it has: the others leave them to it, and give their collectors half of the memory. Told to stop, a process with a ready one beside it stops accepting at once and leaves the queue to that; without one it goes on until the front has noticed. A drain holds over an upgrade too. Not taken: a pipe or socket between the two, which the platform has no place for, and a file for each process, whose words would have no order between them.

--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -166,10 +166,13 @@
 type options struct {
 	mode    string // "pass" or "proxy"
 	sockets int
-	aim     int // of a set-up, in ms
-	files   int // the system's limit on descriptors, 0 for none of the test's own
+	addr    string // with inherit
+	aim     int    // of a set-up, in ms
+	files   int    // the system's limit on descriptors, 0 for none of the test's own
 	known   string
 	manage  string // the operators' address
+	env     []string
+	inherit *os.File // the clients' listening socket, as descriptor 3
 }
 
 const settingsText = `{"index":0,"groupSize":1,"zone":0,"zones":["a"],"registryMode":"ask",
@@ -215,12 +218,22 @@
 // launch starts the program; files above 0 limits its descriptors below what its configuration says.
 func launch(t *testing.T, path string, files int, more ...string) *running {
 	t.Helper()
+	return launchWith(t, path, options{files: files}, more...)
+}
+
+func launchWith(t *testing.T, path string, o options, more ...string) *running {
+	t.Helper()
+	files := o.files
 	cmd := exec.Command(program, append([]string{"node"}, more...)...)
 	if files > 0 {
 		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", files, program))
 	}
 	p := &running{config: path, cmd: cmd, log: &syncBuffer{}, done: make(chan error, 1)}
-	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	p.cmd.Env = append(append(os.Environ(), "PROXY_CONFIG="+path), o.env...)
+	if o.inherit != nil {
+		p.cmd.ExtraFiles = []*os.File{o.inherit}
+		p.cmd.Env = append(p.cmd.Env, "PROXY_ACCEPT_FD=3")
+	}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -248,7 +261,10 @@
 		o.known = list(0, true)
 	}
 	addr := freeAddr(t)
-	p := launch(t, config(t, addr, discovery, o), o.files)
+	if o.inherit != nil {
+		addr = o.addr
+	}
+	p := launchWith(t, config(t, addr, discovery, o), o)
 	p.addr, p.manage = addr, o.manage
 	for begin := time.Now(); time.Since(begin) < long; time.Sleep(20 * time.Millisecond) {
 		c, err := net.Dial("tcp", addr)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,6 +40,8 @@
 	Keep bool          `json:"keep,omitempty"`
 	// Known has a word on a host that nobody has refused, instead of held until it comes.
 	Known bool `json:"known,omitempty"`
+	// At is when an order that reached another process of the node first was given there; zero for now.
+	At time.Time `json:"-"`
 }
 
 // The bounds of a command.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -77,8 +77,11 @@
 // Attach names the node that decides.
 func (d *Driver) Attach(n *node.Node) { d.node = n }
 
+// Listener is where clients come from.
+type Listener interface{ AcceptTCP() (*net.TCPConn, error) }
+
 // Serve accepts clients until the listener is closed. A failing accept pauses it and never ends it.
-func (d *Driver) Serve(l *net.TCPListener) error {
+func (d *Driver) Serve(l Listener) error {
 	for {
 		client, err := l.AcceptTCP()
 		switch {
@@ -107,6 +110,21 @@
 	return !d.closed
 }
 
+// Share sets how many descriptors this process may hold now: while another process of the node is there, both together
+// stay within the limit. What is open stays; it is only that less comes.
+func (d *Driver) Share(sockets int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Sockets = max(sockets, 0) - d.cfg.Others
+}
+
+// Holds tells how many descriptors this process has, or takes as it likes.
+func (d *Driver) Holds() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.used*perClient + d.early.Len() + ownNeed + d.cfg.Others
+}
+
 // heard is how many clients may hold one descriptor; mu is held.
 func (d *Driver) heard() int {
 	return min(max(d.cfg.Sockets/heardPart, leastHeard), d.cfg.Sockets-ownNeed-d.used*perClient)
--- /dev/null
+++ b/internal/handover/store.go
@@ -0,0 +1,218 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Store keeps the document in a folder that the processes of a node share, and marks that this process is there. All
+// its waits have an end. It is safe for use from several goroutines.
+type Store struct {
+	dir, base, node string
+
+	mu   sync.Mutex
+	last Document // as it was read or written last
+	seen os.FileInfo
+	own  *os.File // this process's mark, locked for as long as it lives
+}
+
+const (
+	lockWithin = 250 * time.Millisecond // for another process to end its change
+	lockPause  = 2 * time.Millisecond
+	mostMarks  = 64 // processes that are looked at
+)
+
+// Open finds or makes a node's place in the folder and marks that this process is there. An error says that nothing can
+// be shared; the caller can do without.
+func Open(dir, node string) (*Store, error) {
+	s := &Store{dir: dir, node: node, base: base(node), last: Document{Node: node}}
+	unlock, err := s.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	// Made and locked while no other process looks: it would take a mark without a lock for a dead process's.
+	f, err := os.OpenFile(filepath.Join(dir, fmt.Sprintf("%s-%d.alive", s.base, os.Getpid())), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("%s: %w", f.Name(), err)
+	}
+	s.own = f
+	return s, nil
+}
+
+// Close takes the mark away. The document stays for the next process.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = os.Remove(s.own.Name())
+	_ = s.own.Close()
+}
+
+// base begins the names of a node's files: a node's name may hold what a file's may not.
+func base(node string) string { return fmt.Sprintf("onyxstream-%016x", xxhash.Sum64String(node)) }
+
+func (s *Store) path() string { return filepath.Join(s.dir, s.base+".words") }
+
+// lock keeps other processes from changing what is shared. A process that dies lets go of it.
+func (s *Store) lock() (unlock func(), err error) {
+	f, err := os.OpenFile(filepath.Join(s.dir, s.base+".lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for by := time.Now().Add(lockWithin); ; time.Sleep(lockPause) {
+		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return func() { _ = f.Close() }, nil
+		}
+		if time.Now().After(by) {
+			_ = f.Close()
+			return nil, fmt.Errorf("%s: another process holds it: %w", f.Name(), err)
+		}
+	}
+}
+
+// Load reads the document as it is now; fresh is false where it is as this process last knew it. What is damaged, or is
+// none of this node's, is an error, once for each state of the file, and nothing of it is believed.
+func (s *Store) Load() (d Document, fresh bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load()
+}
+
+func (s *Store) load() (d Document, fresh bool, err error) {
+	info, err := os.Stat(s.path())
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return s.last, false, nil
+	case err != nil:
+		return s.last, false, err
+	case s.seen != nil && os.SameFile(info, s.seen) && info.ModTime().Equal(s.seen.ModTime()) && info.Size() == s.seen.Size():
+		return s.last, false, nil
+	}
+	s.seen = info
+	f, err := os.Open(s.path())
+	if err != nil {
+		return s.last, false, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
+	if err == nil && len(text) > mostBytes {
+		err = errors.New("it is too large")
+	}
+	if err == nil {
+		d, err = Decode(text, s.node)
+	}
+	if err != nil {
+		return s.last, false, fmt.Errorf("%s: %w", s.path(), err)
+	}
+	fresh = d.Serial != s.last.Serial
+	s.last = d
+	return d, fresh, nil
+}
+
+// Update changes the document: whole or not at all, and in one order for all processes. What can't be read is replaced
+// by what this process knows.
+func (s *Store) Update(change func(*Document) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unlock, err := s.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	d, _, _ := s.load()
+	d.Words = append([]Word(nil), d.Words...)
+	if err := change(&d); err != nil {
+		return err
+	}
+	text, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	// The rename makes it whole or not there for other processes and for a kill at any point. It need not outlive the
+	// machine, so nothing waits for a disk.
+	tmp := s.path() + ".new"
+	if err := os.WriteFile(tmp, text, 0o600); err != nil {
+		_ = os.Remove(tmp)
+		return err
+	}
+	if err := os.Rename(tmp, s.path()); err != nil {
+		return err
+	}
+	s.last = d
+	s.seen, _ = os.Stat(s.path())
+	return nil
+}
+
+// Mark is what a process tells of itself.
+type Mark struct {
+	Ready       bool
+	Descriptors int // that it holds, or may without asking
+}
+
+// Tell writes this process's mark for others to read.
+func (s *Store) Tell(m Mark) error {
+	ready := 0
+	if m.Ready {
+		ready = 1
+	}
+	_, err := s.own.WriteAt(fmt.Appendf(nil, "%d %010d\n", ready, m.Descriptors), 0)
+	return err
+}
+
+// Others finds the other processes of this node that live, and takes away the marks of those that died.
+func (s *Store) Others() ([]Mark, error) {
+	names, err := filepath.Glob(filepath.Join(s.dir, s.base+"-*.alive"))
+	if err != nil || len(names) <= 1 {
+		return nil, err
+	}
+	unlock, err := s.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	var out []Mark
+	for _, name := range names[:min(len(names), mostMarks)] {
+		if name == s.own.Name() {
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			continue // it has just gone
+		}
+		if syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == nil {
+			_ = os.Remove(name)
+		} else {
+			var buf [32]byte
+			n, _ := f.ReadAt(buf[:], 0)
+			out = append(out, parseMark(string(buf[:n])))
+		}
+		_ = f.Close()
+	}
+	return out, nil
+}
+
+// parseMark reads a mark; one that was not written yet, or that can't be read, is that of a process that is there.
+func parseMark(text string) (m Mark) {
+	ready, number, _ := strings.Cut(strings.TrimSpace(text), " ")
+	m.Ready = ready == "1"
+	if n, err := strconv.Atoi(number); err == nil && n > 0 && n < 1<<20 {
+		m.Descriptors = n
+	}
+	return m
+}
--- a/internal/lifecycle/operated.go
+++ b/internal/lifecycle/operated.go
@@ -20,9 +20,9 @@
 
 // operated is a node as the operators' line calls see it: the operations of the control listener, called by hand.
 type operated struct {
-	orders *control.Server
 	node   *node.Node
 	driver *driver.Driver
+	shared *shared         // with other processes of the node
 	stop   context.Context // ends when the node is told to stop
 }
 
@@ -47,18 +47,18 @@
 
 // HostOut takes a host out.
 func (o *operated) HostOut(id string) error {
-	return o.orders.Order(control.Command{Kind: control.HostDrain, Host: id, Known: true})
+	return o.shared.word(id, true)
 }
 
 // HostBack uses a host again.
 func (o *operated) HostBack(id string) error {
-	return o.orders.Order(control.Command{Kind: control.HostResume, Host: id, Known: true})
+	return o.shared.word(id, false)
 }
 
 // Drain has the node drain. What stands is sent away but where packets pass through.
 func (o *operated) Drain() error {
-	return o.orders.Order(control.Command{Kind: control.Drain, Within: awayWithin, Open: frontNotices, Keep: true})
+	return o.shared.leave(control.Command{Kind: control.Drain, Within: awayWithin, Open: frontNotices, Keep: true})
 }
 
 // Resume ends a drain.
-func (o *operated) Resume() error { return o.orders.Order(control.Command{Kind: control.Resume}) }
+func (o *operated) Resume() error { return o.shared.leave(control.Command{Kind: control.Resume}) }
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -128,14 +129,14 @@
 
 // Do carries a command out.
 func (c *controlled) Do(cmd control.Command) error {
+	now := time.Now()
 	switch cmd.Kind {
 	case control.Drain:
-		now := time.Now()
 		return c.node.Leave(node.Away{By: now.Add(cmd.Within), Shut: now.Add(cmd.Open), After: cmd.After, Keep: cmd.Keep})
 	case control.Resume:
 		return c.node.Stay()
 	case control.HostDrain, control.HostResume:
-		return c.node.Word(brain.ServerID(cmd.Host), cmd.Kind == control.HostDrain, cmd.Known)
+		return c.node.Word(brain.ServerID(cmd.Host), cmd.Kind == control.HostDrain, cmd.Known, cmp.Or(cmd.At, now))
 	}
 	panic(fmt.Sprintf("a command of kind %q was let through", cmd.Kind))
 }
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -54,8 +54,7 @@
 	log := logger(cfg.Name)
 	defer func() { _ = log.Sync() }()
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
-	// Stacks and sockets count too: the collector gets three quarters.
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+	debug.SetMemoryLimit(heap(cfg.MemoryMB))
 
 	d, y := newDriver(cfg, log), driver.NewDiscovery(log)
 	n := node.New(cfg.Settings, cfg.Known, cfg.Discovery, outside{y, d}, log)
@@ -66,33 +65,40 @@
 	defer cancelStop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l, err := driver.Listen(ctx, cfg.Listen)
+	l, err := listen(ctx, cfg.Listen)
 	if err != nil {
 		return err
 	}
 	asked, err := own.Control.listeners(log)
 	if err != nil {
-		_ = l.Close()
+		l.Close()
 		return fmt.Errorf("control: %w", err)
 	}
 	var operators net.Listener
 	if cfg.Management != "" {
 		if operators, err = driver.Listen(ctx, cfg.Management); err != nil {
-			_ = l.Close()
+			l.Close()
 			return fmt.Errorf("management: %w", err)
 		}
 	}
+	both := newShared(cfg, n, d, log)
+	defer both.close()
 	log.Info("started", zap.String("listen", cfg.Listen), zap.Int("hosts known", len(cfg.Known.Members)))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.Run(ctx) })
 	g.Go(func() error { return y.Run(ctx) })
-	g.Go(func() error { return d.Serve(l) })
 	orders := control.NewServer(&controlled{cfg.Name, n, time.Now(), stop}, newBoot(), log)
+	both.begin(orders) // what operators have said holds from the first client on
+	g.Go(func() error { return l.serve(ctx, d) })
+	g.Go(func() error {
+		both.follow(ctx)
+		return nil
+	})
 	if len(asked) > 0 {
 		g.Go(func() error { return orders.Serve(ctx, asked...) })
 	}
 	if operators != nil {
-		s := management.NewServer(&operated{orders: orders, node: n, driver: d, stop: stop}, log)
+		s := management.NewServer(&operated{node: n, driver: d, shared: both, stop: stop}, log)
 		g.Go(func() error { return s.Serve(ctx, operators) })
 	}
 	g.Go(func() error {
@@ -103,11 +109,16 @@
 		select {
 		case <-stop.Done():
 			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
-			drain(n, cfg.Settings.Settings)
+			until := noticed
+			if l.inherited && both.ready() { // who waits at the door is the other process's
+				until = 0
+				l.Close()
+			}
+			drain(n, cfg.Settings.Settings, until)
 			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
 		case <-ctx.Done():
 		}
-		_ = l.Close()
+		l.Close()
 		d.End(cfg.Settings.Pass)
 		cancel()
 		return nil
@@ -144,7 +155,7 @@
 // pass through, what is open goes on here for as long as that, and then by way of other nodes, one of which may just
 // have come back; elsewhere every client is sent away, spread over the time there is so that the others don't get
 // them all at once.
-func drain(n *node.Node, set brain.Settings) {
+func drain(n *node.Node, set brain.Settings, noticed time.Duration) {
 	start := time.Now()
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
--- /dev/null
+++ b/internal/lifecycle/shared.go
@@ -0,0 +1,234 @@
+package lifecycle
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/control"
+	"onyxstream/internal/driver"
+	"onyxstream/internal/handover"
+	"onyxstream/internal/node"
+)
+
+// lookAt is how often a process looks for what another one of its node was told: a word binds both within a second.
+const lookAt = 100 * time.Millisecond
+
+// shared is what the processes of a node have in common, over the folder that they share. Without one, or while it
+// can't be used, a word holds in the process that was told.
+type shared struct {
+	cfg    Config
+	node   *node.Node
+	driver *driver.Driver
+	log    *zap.Logger
+	store  *handover.Store // nil where nothing can be shared
+	orders *control.Server
+
+	mu   sync.Mutex // an order and what others were told are taken in one after the other
+	seen uint64     // the document's changes that are in force here
+	alone,
+	failed bool // no other process was there when last looked; the folder could not be used
+}
+
+// newShared opens the folder where operators can call the node or the platform may start it twice.
+func newShared(cfg Config, n *node.Node, d *driver.Driver, log *zap.Logger) *shared {
+	s := &shared{cfg: cfg, node: n, driver: d, log: log, alone: true}
+	if cfg.Management == "" && os.Getenv(acceptVar) == "" {
+		return s
+	}
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		log.Warn("TMPDIR is not set: words of operators end with this process")
+		return s
+	}
+	store, err := handover.Open(dir, cfg.Name)
+	if err != nil {
+		log.Error("TMPDIR can't be used: words of operators end with this process", zap.Error(err))
+		return s
+	}
+	s.store = store
+	return s
+}
+
+// begin takes in what the processes before were told.
+func (s *shared) begin(orders *control.Server) {
+	s.orders = orders
+	if s.store != nil {
+		s.look()
+		s.share(true)
+	}
+}
+
+func (s *shared) close() {
+	if s.store != nil {
+		s.store.Close()
+	}
+}
+
+// follow takes in what another process is told, and keeps both within the limits, until the context ends.
+func (s *shared) follow(ctx context.Context) {
+	if s.store == nil {
+		return
+	}
+	ticks := time.NewTicker(lookAt)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			s.look()
+			s.share(true)
+		}
+	}
+}
+
+// ready reports whether another process of this node is there to serve.
+func (s *shared) ready() bool {
+	if s.store == nil {
+		return false
+	}
+	others, err := s.store.Others()
+	s.note(err)
+	for _, o := range others {
+		if o.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// share tells the others what this process holds, and leaves them what they hold.
+func (s *shared) share(ready bool) {
+	s.note(s.store.Tell(handover.Mark{Ready: ready, Descriptors: s.driver.Holds()}))
+	others, err := s.store.Others()
+	if s.note(err); err != nil {
+		return // as it was
+	}
+	sockets, memory := s.cfg.Sockets, s.cfg.MemoryMB
+	for _, o := range others {
+		sockets -= o.Descriptors
+		memory = s.cfg.MemoryMB / 2
+	}
+	if alone := len(others) == 0; !alone || !s.alone {
+		s.driver.Share(sockets)
+		debug.SetMemoryLimit(heap(memory))
+		if alone != s.alone {
+			s.log.Info("processes of this node", zap.Int("others", len(others)))
+		}
+		s.alone = alone
+	}
+}
+
+// heap is what the collector is given of a limit: stacks and sockets count too.
+func heap(memoryMB int) int64 { return int64(memoryMB) << 20 / 4 * 3 }
+
+// note logs that the folder can't be used, once until it can be again.
+func (s *shared) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noted(err)
+}
+
+func (s *shared) noted(err error) {
+	if err != nil && !s.failed {
+		s.log.Error("what is shared with other processes can't be used: words hold in the process that was told", zap.Error(err))
+	}
+	s.failed = err != nil
+}
+
+// word takes a host out or calls it back, here and in the other processes.
+func (s *shared) word(id string, out bool) error {
+	now := time.Now()
+	c := control.Command{Kind: control.HostResume, Host: id, Known: true, At: now}
+	if out {
+		c.Kind = control.HostDrain
+	}
+	return s.tell(c, func(d *handover.Document) error { return d.Say(id, out, now) })
+}
+
+// leave drains the node or ends that, here and in the other processes.
+func (s *shared) leave(c control.Command) error {
+	now := time.Now()
+	return s.tell(c, func(d *handover.Document) error {
+		d.Leave(handover.Drain{On: c.Kind == control.Drain, By: now.Add(c.Within), Shut: now.Add(c.Open), After: c.After, Keep: c.Keep})
+		return nil
+	})
+}
+
+// tell carries an order out and puts it into the document, as one step of an order that is the same for all processes:
+// what others were told before is taken in first. An order that does not hold here is told to no one; one that can't be
+// told holds here.
+func (s *shared) tell(c control.Command, change func(*handover.Document) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refused error
+	given := false
+	if s.store != nil {
+		err := s.store.Update(func(d *handover.Document) error {
+			s.take(*d)
+			given = true
+			if refused = s.orders.Order(c); refused != nil {
+				return refused
+			}
+			err := change(d)
+			s.seen = d.Serial
+			return err
+		})
+		if refused != nil {
+			return refused
+		}
+		s.noted(err)
+	}
+	if !given {
+		return s.orders.Order(c)
+	}
+	return nil
+}
+
+// look takes in what has changed.
+func (s *shared) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, fresh, err := s.store.Load()
+	if err != nil {
+		s.noted(err)
+	}
+	if fresh || s.seen < d.Serial { // the latter where an order could not be taken in
+		s.take(d)
+	}
+}
+
+// take brings into force what this process has not taken in yet; mu is held.
+func (s *shared) take(d handover.Document) {
+	after := s.seen
+	s.seen = d.Serial
+	order := func(c control.Command) {
+		if err := s.orders.Order(c); err != nil {
+			s.seen = after // once more at the next look
+			s.log.Error("what another process was told could not be taken in", zap.String("kind", c.Kind), zap.String("host", c.Host),
+				zap.Error(err))
+		}
+	}
+	for _, w := range d.Words {
+		if w.Serial > after {
+			kind := control.HostResume
+			if w.Out {
+				kind = control.HostDrain
+			}
+			order(control.Command{Kind: kind, Host: w.Host, At: w.At})
+		}
+	}
+	switch l := d.Drain; {
+	case l.Serial <= after:
+	case l.On:
+		order(control.Command{Kind: control.Drain, Within: max(time.Until(l.By), 0), Open: max(time.Until(l.Shut), 0), After: l.After,
+			Keep: l.Keep})
+	case s.node.Leaving():
+		order(control.Command{Kind: control.Resume})
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -19,7 +19,6 @@
 	toldAt time.Time   // when it was told to drain or be gone
 	listed wire.Member // as the list has it
 	out    bool        // the list does not have it any more
-	back   int64       // when an operator called it back, Unix time in milliseconds; 0 for never
 
 	// How messages fare there, see pulse.
 	took   []time.Duration
@@ -63,7 +62,7 @@
 		m.listed, m.out = e, e.Phase == wire.Deleted
 		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
-			Since: time.Duration(max(e.UpSince, m.back)) * time.Millisecond}
+			Since: time.Duration(max(e.UpSince, n.backs[id])) * time.Millisecond}
 		if z, ok := n.zones[e.Zone]; ok {
 			s.Zone = z
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
-		orders:  orders{words: map[brain.ServerID]bool{}},
+		orders:  orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -23,6 +23,8 @@
 	shutAt  time.Time   // from when on it takes nothing new; zero while it does not drain
 	words   map[brain.ServerID]bool
 
+	backs map[brain.ServerID]int64 // when hosts were called back, Unix time in milliseconds
+
 	// What holds now, for whoever asks without waiting for the loop.
 	targets, avoided atomic.Int64
 }
@@ -65,9 +67,11 @@
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
 // Word is an operator's word that a host drains, whatever the list says, or the end of that. A host that is not known
-// yet is held to it when it comes; with known that is an error. It returns once the loop has taken it in.
-func (n *Node) Word(id brain.ServerID, drains, known bool) error {
-	return n.wait(event{kind: evWord, id: brain.RequestID(id), attempt: flag(drains), must: known})
+// yet is held to it when it comes; with known that is an error. A host is taken to have been restarted at the time at
+// which it is called back, or zero for not: whoever takes one out does so for that, and the list tells of it only later.
+// It returns once the loop has taken it in.
+func (n *Node) Word(id brain.ServerID, drains, known bool, at time.Time) error {
+	return n.wait(event{kind: evWord, id: brain.RequestID(id), attempt: flag(drains), must: known, until: at})
 }
 
 func flag(on bool) int {
@@ -138,26 +142,26 @@
 		}
 		e.verdict <- nil
 	case evWord:
-		e.verdict <- n.word(brain.ServerID(e.id), e.attempt == 1, e.must)
+		e.verdict <- n.word(brain.ServerID(e.id), e.attempt == 1, e.must, e.until)
 	case evView:
 		e.view <- n.view() // has room
 	}
 }
 
-func (n *Node) word(id brain.ServerID, drains, known bool) error {
-	m := n.members[id]
+func (n *Node) word(id brain.ServerID, drains, known bool, at time.Time) error {
+	m, was := n.members[id], n.words[id]
 	switch {
-	case known && m == nil && !n.words[id]:
+	case known && m == nil && !was:
 		return ErrUnknown
-	case drains && !n.words[id] && len(n.words) >= mostWords:
+	case drains && !was && len(n.words) >= mostWords:
 		n.log.Warn("words on too many hosts are held: this one is not", zap.String("host", string(id)))
 		return ErrFull
 	case drains:
 		n.words[id] = true
-	case n.words[id]:
+	default:
 		delete(n.words, id)
-		if m != nil { // whoever takes a host out does so to restart it, and the list tells of that only later
-			m.back = time.Now().UnixMilli()
+		if !at.IsZero() && (was || !known) {
+			n.called(id, at)
 		}
 	}
 	if m != nil && m.state != brain.Gone {
@@ -166,6 +170,18 @@
 	return nil
 }
 
+// called notes that a host was called back; what is long past is forgotten.
+func (n *Node) called(id brain.ServerID, at time.Time) {
+	for other, back := range n.backs {
+		if at.Sub(time.UnixMilli(back)) > n.set.WarmWithin {
+			delete(n.backs, other)
+		}
+	}
+	if len(n.backs) < mostWords {
+		n.backs[id] = max(n.backs[id], at.UnixMilli())
+	}
+}
+
 // tally counts the hosts of the list, and those that the node avoids now.
 func (n *Node) tally() {
 	listed, avoided := int64(0), int64(0)
