Standing connections go to the next process; a word no longer passes for a watch

Ruled out: a slow discovery (the old process's watch brought the change at once), the grace. At fault: node.word relists the host as ListChange, and the module's listed takes any such news for a watch that is on. News from elsewhere is ListAside now; the test fails without it with no call to discovery.

At each end of an older process 12 to 28 connections broke at one moment and came again within 1.8 s, onto hosts that were short already; no client came mid-flow (0 of 844 lines). So what stands goes over: the older process brings up to 16 connections to rest between two lines and writes which sockets they are; the next one copies them out of it (pidfd_getfd), proves the process by the mark it holds and each socket by whom it is connected with, and takes the offer by renaming it, which only one of the two can do. Not taken: passing them over a Unix socket, which the platform has no place for; moving every client, which is what happens where the system refuses the copy.

Also: descriptors told to the other process are what is open, not what is reserved (forty clients of 256 left the next one without room, seen in the test), and the load generator's nil connection on a line due at its close.

--- a/brain/api.go
+++ b/brain/api.go
@@ -106,6 +106,7 @@
 	ListFull                   // the complete list
 	ListCached                 // the complete list as last held, maybe old
 	ListFailed                 // a question failed or the watch broke
+	ListAside                  // changed entries from another source: they tell nothing of the questions to the list
 )
 
 // The events.
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -29,8 +29,9 @@
 		b.askNotBy = b.now + b.backoff/2 + b.jitter(b.apart(b.backoff))
 		return
 	}
-	b.watching = e.Kind != ListCached
-	b.asking, b.backoff = false, 0
+	if e.Kind != ListAside { // a word of an operator before the first list must not pass for a watch
+		b.watching, b.asking, b.backoff = e.Kind != ListCached, false, 0
+	}
 	rows := slices.SortedFunc(slices.Values(e.Servers), func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
 	named := make(map[ServerID]bool, len(rows))
 	for _, row := range rows {
@@ -40,7 +41,7 @@
 		}
 	}
 	for _, s := range slices.Clone(b.table.holders) {
-		if held, told := named[s.id]; !held && (told || e.Kind != ListChange) {
+		if held, told := named[s.id]; !held && (told || e.Kind == ListFull || e.Kind == ListCached) {
 			b.table.drain(s, b.now)
 			b.table.drained(s)
 			b.forget(s)
--- a/cmd/onyxstream/upgrade_test.go
+++ b/cmd/onyxstream/upgrade_test.go
@@ -65,10 +65,15 @@
 	known := list(1, true, a.member("SERVING"), b.member("SERVING"))
 	reg := newRegistry(t, known)
 	addr, f := door(t)
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), env: []string{"TMPDIR=" + t.TempDir()}}
+	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), sockets: 1024, env: []string{"TMPDIR=" + t.TempDir()}}
 	p := start(t, o, reg.addr)
 	p.yes(t, "disable-server ha")
 	after := len(a.lines())
+	var stand []*client
+	for range 40 { // more than one offer
+		stand = append(stand, p.open(t, ""))
+		stand[len(stand)-1].hears("UP from-hb")
+	}
 
 	var mu sync.Mutex
 	came, lost := 0, []string{}
@@ -113,6 +118,11 @@
 	}
 	close(stop)
 	<-done
+	for _, k := range stand { // they have gone through three processes, and their host has noticed none of it
+		k.say("M 1\r\n")
+		k.hears("M 1")
+		k.say("DO end\r\n")
+	}
 	if len(lost) > 0 || came < 300 {
 		t.Errorf("of %d clients %d were lost at the door: %.500s", came, len(lost), strings.Join(lost, "; "))
 	}
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -49,7 +49,10 @@
 	running  int                // its number
 	host     *net.TCPConn       // set when up
 	aborted  bool
-	spoke    bool // the client said more than its first line before it was up
+	over     bool     // nothing more is read of the client for its host
+	parking  *parking // it is brought to rest, nil while it is not
+	unrest   int      // how often it could not be handed to another process
+	spoke    bool     // the client said more than its first line before it was up
 
 	early   *list.Element // its place among those that hold one descriptor; the driver's mu guards it
 	since   time.Time     // when it came, or had its answer; likewise
@@ -57,6 +60,8 @@
 	met     atomic.Bool   // it was read from: what it had said by then is known
 
 	longest time.Duration // that a message waited for its answer; the relay's own
+	on      string        // the host of the attempt, or where it stands
+	load    float64       // by its last report; the relay's own
 	counted atomic.Bool   // its final answer is among the figures
 
 	moving   atomic.Bool
@@ -171,7 +176,7 @@
 // endClient ends the client's side once serve has nothing more for it.
 func (c *conn) endClient() {
 	close(c.ended)
-	_ = c.client.SetReadDeadline(past)
+	c.stopReading()
 }
 
 // hello reads the first line; false when there is nothing more to do. A half line or one that is no
@@ -348,7 +353,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.mu.Lock()
-	c.withdraw, c.running = cancel, a.N
+	c.withdraw, c.running, c.on = cancel, a.N, string(a.Host)
 	if c.aborted {
 		cancel()
 	}
@@ -425,7 +430,7 @@
 		start := time.Now()
 		ctx, cancel := context.WithCancel(context.Background())
 		c.mu.Lock()
-		c.withdraw, c.running = cancel, 0
+		c.withdraw, c.running, c.on = cancel, 0, c.open.At
 		c.mu.Unlock()
 		host, upLine, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: max(c.open.Wait, c.d.cfg.Patience)},
 			&c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error { return nil }, &in)
@@ -478,6 +483,9 @@
 func (c *conn) linger() {
 	c.d.dismiss(c)
 	_ = c.client.CloseWrite()
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
 	_ = c.client.SetReadDeadline(time.Now().Add(lingerFor))
 	buf := wire.GetBuffer()
 	defer buf.Free()
@@ -493,7 +501,10 @@
 func (c *conn) relay(host *net.TCPConn, first *wire.Inbox, upLine []byte, attempt int, start time.Time) {
 	r := wire.Relay{Inbox: *first}
 	defer r.Free()
-	_, err := c.client.Write(upLine)
+	var err error
+	if len(upLine) > 0 {
+		_, err = c.client.Write(upLine)
+	}
 	stuck := err != nil // the client does not take what is for it
 	for err == nil {
 		chunk, seen := r.Whole()
@@ -506,6 +517,7 @@
 			}
 		}
 		if seen.Load > 0 {
+			c.load = seen.Load
 			c.d.node.Load(c.id, c, seen.Load)
 		}
 		if len(chunk) > 0 {
@@ -519,6 +531,18 @@
 		if n > 0 {
 			err = nil
 		}
+		if err != nil && timedOut(err) {
+			goOn, handed := c.rest(host, true, func(p *parking) {
+				p.partial, p.torn, p.load = append([]byte(nil), r.Rest()...), !r.Between() || r.Ending(), c.load
+			})
+			if handed {
+				c.handOver(host, attempt, start)
+				return
+			}
+			if goOn {
+				err = nil
+			}
+		}
 	}
 	c.part(host, &r, err, stuck, attempt, start)
 }
@@ -559,6 +583,9 @@
 
 // stopReading ends upward, so that the client's last bytes are read by linger alone.
 func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
 	_ = c.client.SetReadDeadline(past)
 }
 
@@ -592,6 +619,12 @@
 		}
 		n, err := c.client.Read(in.Space())
 		in.Fed(n)
+		if n == 0 && err != nil && timedOut(err) {
+			if goOn, _ := c.rest(c.client, false, func(*parking) {}); goOn {
+				continue
+			}
+			return
+		}
 		if n == 0 && err != nil {
 			c.left(err)
 			return
@@ -625,7 +658,7 @@
 
 // left notes that the client has ended its side.
 func (c *conn) left(err error) {
-	if timedOut(err) || errors.Is(err, net.ErrClosed) { // this node's own doing
+	if errors.Is(err, net.ErrClosed) { // this node's own doing
 		return
 	}
 	c.mu.Lock()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -118,11 +118,14 @@
 	d.cfg.Sockets = max(sockets, 0) - d.cfg.Others
 }
 
-// Holds tells how many descriptors this process has, or takes as it likes.
+// base is what a process has open beside its clients, hosts and pings.
+const base = 16
+
+// Holds tells how many descriptors this process has.
 func (d *Driver) Holds() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.used*perClient + d.early.Len() + ownNeed + d.cfg.Others
+	return d.used*perClient + d.early.Len() + len(d.pingers) + base
 }
 
 // heard is how many clients may hold one descriptor; mu is held.
@@ -147,9 +150,19 @@
 		}
 		d.shed(first)
 	}
-	c := &conn{d: d, client: client, cmds: make(chan command, 8), verdict: make(chan bool, 1), since: now,
-		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
+	c := d.newConn(client, now)
 	c.early = d.early.PushBack(c)
+	d.start(c, c.serve)
+	return true
+}
+
+func (d *Driver) newConn(client *net.TCPConn, now time.Time) *conn {
+	return &conn{d: d, client: client, cmds: make(chan command, 8), verdict: make(chan bool, 1), since: now,
+		gone: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// start gives a connection the goroutine that is its life; mu is held.
+func (d *Driver) start(c *conn, life func()) {
 	d.conns[c] = struct{}{}
 	d.clients.Add(1)
 	go func() {
@@ -160,9 +173,8 @@
 			delete(d.conns, c)
 			d.release(c)
 		}()
-		c.serve()
+		life()
 	}()
-	return true
 }
 
 // shed closes a client that holds one descriptor; mu is held.
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -32,7 +32,8 @@
 // newRig starts a driver; the node's loop runs only where loop is set.
 func newRig(t *testing.T, log *zap.Logger, loop bool, hosts ...string) *rig {
 	t.Helper()
-	d, y := New(Config{Sockets: 256, ConnectTimeout: time.Second, AnswerSlack: 10 * time.Millisecond, Patience: time.Second}, log),
+	d, y := New(Config{Sockets: 256, ConnectTimeout: time.Second, AnswerSlack: 10 * time.Millisecond, Patience: time.Second,
+		Classes: []string{"chat"}}, log),
 		NewDiscovery(log)
 	set := settings.Settings{Settings: brain.Settings{GroupSize: 1, MaxAttempts: 3, MayCancel: true, AskList: true,
 		AskWithin: time.Hour, DrainGrace: time.Second, Classes: []brain.Class{{SetupAim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1}}},
--- /dev/null
+++ b/internal/driver/park.go
@@ -0,0 +1,234 @@
+package driver
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// Connections that stand can go from one process of the node to the next without a break: here they are brought to rest
+// between two lines, and here a process takes up what another one has brought to rest. How the sockets get from one to
+// the other is package handover's.
+
+// Standing is a connection that stands, at rest: what a process needs to go on with it.
+type Standing struct {
+	Line         string // the client's first line
+	Host         string // the host's id
+	Client, Peer *net.TCPConn
+	Partial      []byte  // of a line from the host that has not come whole yet
+	Load         float64 // by its last report, 0 for none
+}
+
+// parking is a connection's way to rest. Both goroutines of it wait there until it is decided what becomes of it.
+type parking struct {
+	hostAt, clientAt chan struct{}
+	decided          chan struct{}
+	handed           bool   // another process has it
+	partial          []byte // by the relay, before hostAt is closed
+	torn             bool   // likewise: a line is passed on in pieces
+	load             float64
+	conn             *conn
+	host             *net.TCPConn
+}
+
+// restWithin is how long a connection is given to come to rest: one whose client or host does not take what is for it
+// stays where it is.
+const restWithin = 50 * time.Millisecond
+
+// mostUnrest is how often a connection that could not be handed over is asked again: each time holds its lines back.
+const mostUnrest = 8
+
+// Park brings up to n connections that stand to rest, and returns with them what becomes of each: with true it is
+// another process's, with false it goes on here. None may be forgotten: their clients wait.
+func (d *Driver) Park(n int) (out []Standing, done []func(handed bool)) {
+	var parked []*parking
+	d.mu.Lock()
+	for c := range d.conns {
+		if len(parked) == n {
+			break
+		}
+		if p := c.park(); p != nil {
+			parked = append(parked, p)
+		}
+	}
+	d.mu.Unlock()
+	late := time.NewTimer(restWithin)
+	defer late.Stop()
+	over := false
+	for _, p := range parked {
+		for _, at := range []chan struct{}{p.hostAt, p.clientAt} {
+			if over {
+				break
+			}
+			select {
+			case <-at:
+			case <-late.C:
+				over = true
+			}
+		}
+		if !p.rests() {
+			p.decide(false)
+			continue
+		}
+		out = append(out, Standing{Line: p.conn.open.Line(), Host: p.conn.on, Client: p.conn.client, Peer: p.host,
+			Partial: p.partial, Load: p.load})
+		done = append(done, p.decide)
+	}
+	return out, done
+}
+
+// park begins to bring a connection to rest; nil where it does not stand, or ends.
+func (c *conn) park() *parking {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host == nil || c.parking != nil || c.ends() || c.unrest >= mostUnrest {
+		return nil
+	}
+	c.parking = &parking{conn: c, host: c.host, hostAt: make(chan struct{}), clientAt: make(chan struct{}), decided: make(chan struct{})}
+	_ = c.host.SetReadDeadline(past)
+	_ = c.client.SetReadDeadline(past)
+	return c.parking
+}
+
+// ends reports whether the connection is on its way to its end; mu is held.
+func (c *conn) ends() bool {
+	return c.aborted || c.over || c.moving.Load() || c.leftFIN.Load() || c.leftRST.Load()
+}
+
+// rests reports whether both goroutines wait, between two lines.
+func (p *parking) rests() bool {
+	for _, at := range []chan struct{}{p.hostAt, p.clientAt} {
+		select {
+		case <-at:
+		default:
+			return false
+		}
+	}
+	return !p.torn
+}
+
+// decide ends the rest.
+func (p *parking) decide(handed bool) {
+	p.conn.mu.Lock()
+	p.handed = handed
+	p.conn.parking = nil
+	if !handed {
+		p.conn.unrest++
+	}
+	p.conn.mu.Unlock()
+	close(p.decided)
+}
+
+// rest is where the goroutines of a connection wait, each after a read that has run out of time; host tells which, and
+// says what the parking is to know of its side. goOn is true where it is to read on, handed where another process has
+// the connection now.
+func (c *conn) rest(side *net.TCPConn, host bool, say func(*parking)) (goOn, handed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		p := c.parking
+		switch {
+		case c.ends():
+			return false, false
+		case p == nil:
+			_ = side.SetReadDeadline(time.Time{})
+			return true, false
+		}
+		if say(p); host {
+			close(p.hostAt)
+		} else {
+			close(p.clientAt)
+		}
+		c.mu.Unlock()
+		<-p.decided
+		c.mu.Lock()
+		if p.handed {
+			return false, true
+		} // it may be brought to rest again already
+	}
+}
+
+// handOver ends this process's part of a connection that another one has. Its sockets are closed here and stay open
+// there: nothing may be said on them, nor set.
+func (c *conn) handOver(host *net.TCPConn, attempt int, start time.Time) {
+	_ = host.Close()
+	c.d.node.Settled(c.id, c, attempt, time.Since(start), brain.Cancelled)
+}
+
+var errGone = errors.New("the driver ends")
+
+// Adopt goes on with a connection that another process had.
+func (d *Driver) Adopt(s Standing) error {
+	kind, open, err := wire.ParseHello([]byte(s.Line))
+	if err != nil || kind != wire.HelloOpen || len(s.Partial) > wire.BufferSize/2 {
+		return errors.New("it is no connection's")
+	}
+	open.At = s.Host
+	c := d.newConn(s.Client, time.Now())
+	c.open, c.id, c.on, c.host = open, brain.RequestID(open.ID), s.Host, s.Peer
+	c.counted.Store(true) // by the process that brought it up
+	close(c.up)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errGone
+	}
+	d.used++
+	d.figures.taken.Add(1)
+	c.charged = true
+	d.start(c, func() { c.goOn(s) })
+	return nil
+}
+
+// goOn is the life of a connection that was adopted.
+func (c *conn) goOn(s Standing) {
+	start, told := time.Now(), false
+	defer c.client.Close()
+	defer func() {
+		if p := recover(); p != nil {
+			c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.Stack("stack"))
+			c.abort()
+			if told {
+				c.d.node.Settled(c.id, c, 0, 0, brain.Reset)
+			}
+		}
+	}()
+	if _, ok := c.d.node.Resume(&c.open, c); !ok {
+		c.d.log.Info("a connection's id is held already")
+		c.abort()
+		return
+	}
+	told = true
+	c.d.node.Inherit(&c.open, c)
+	if s.Load > 0 {
+		c.load = s.Load
+		c.d.node.Load(c.id, c, s.Load)
+	}
+	var host, client wire.Inbox
+	host.Fed(copy(host.Space(), s.Partial))
+	defer client.Free()
+	var reader sync.WaitGroup
+	reader.Add(1)
+	go func() {
+		defer reader.Done()
+		defer c.d.caught("reading a client failed badly")
+		c.upward(&client)
+	}()
+	defer reader.Wait()
+	defer c.endClient()
+	c.relay(s.Peer, &host, nil, 0, start)
+}
+
+// Unheard tells how many clients hold a connection here that is neither up nor wanted: they have said nothing whole yet,
+// or have had their last word and not left.
+func (d *Driver) Unheard() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.early.Len()
+}
--- a/internal/handover/document.go
+++ b/internal/handover/document.go
@@ -79,35 +79,43 @@
 }
 
 // Encode writes the document: a line with what it is, its sum and its length, and JSON behind it.
-func (d *Document) Encode() ([]byte, error) {
-	body, err := json.Marshal(d)
+func (d *Document) Encode() ([]byte, error) { return seal(magic, d) }
+
+// seal writes a value with what it is, its sum and its length in a line before it.
+func seal(kind string, v any) ([]byte, error) {
+	body, err := json.Marshal(v)
 	if err != nil {
 		return nil, err
 	}
-	return append(fmt.Appendf(nil, "%s %08x %d\n", magic, sum(body), len(body)), body...), nil
+	return append(fmt.Appendf(nil, "%s %08x %d\n", kind, sum(body), len(body)), body...), nil
 }
 
 func sum(b []byte) uint32 { return crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli)) }
 
-// Decode reads a document of a node. Whatever else is in text is an error, never half of a document.
-func Decode(text []byte, node string) (Document, error) {
+// unseal reads what seal wrote. Whatever else is in text is an error, never half of it.
+func unseal(want string, text []byte, v any) error {
 	head, body, ok := bytes.Cut(text, []byte("\n"))
 	var kind string
 	var check uint32
 	var length int
-	if n, _ := fmt.Sscanf(string(head), "%s %x %d", &kind, &check, &length); !ok || n != 3 || kind != magic {
-		if strings.HasPrefix(string(head), "onyxstream-handover-") {
-			return Document{}, fmt.Errorf("it is of another version: %.40q", head)
+	if n, _ := fmt.Sscanf(string(head), "%s %x %d", &kind, &check, &length); !ok || n != 3 || kind != want {
+		if strings.HasPrefix(string(head), want[:len(want)-1]) {
+			return fmt.Errorf("it is of another version: %.40q", head)
 		}
-		return Document{}, errors.New("it is none of this program's")
+		return errors.New("it is none of this program's")
 	}
 	if length != len(body) || check != sum(body) {
-		return Document{}, errors.New("it is damaged")
+		return errors.New("it is damaged")
 	}
-	var d Document
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
+	return dec.Decode(v)
+}
+
+// Decode reads a document of a node.
+func Decode(text []byte, node string) (Document, error) {
+	var d Document
+	if err := unseal(magic, text, &d); err != nil {
 		return Document{}, err
 	}
 	if d.Node != node {
--- /dev/null
+++ b/internal/handover/offer.go
@@ -0,0 +1,227 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Connections that stand go over in offers: a process that ends writes which sockets it has at rest, the next one
+// copies them out of it (pidfd_getfd: both are of one user, and no privilege is needed where the system lets a user's
+// processes look at each other), and takes the offer by renaming it. Renaming decides, as it can only be done once: an
+// offer that was taken back first is none, and what is not taken stays where it is.
+
+// Offered is a connection in an offer.
+type Offered struct {
+	Line    string  `json:"line"`
+	Host    string  `json:"host"`
+	Client  Socket  `json:"client"`
+	Peer    Socket  `json:"peer"`
+	Partial []byte  `json:"partial,omitempty"`
+	Load    float64 `json:"load,omitempty"`
+}
+
+// Socket is a descriptor of the process that offers it, and whom it is connected with: a number alone may be another
+// one's by now.
+type Socket struct {
+	FD int    `json:"fd"`
+	To string `json:"to"`
+}
+
+// offer is what the file holds. Mark is the descriptor of the mark of the process that offers: it proves that the number
+// of a process is that of the one that wrote the offer.
+type offer struct {
+	Node        string    `json:"node"`
+	PID         int       `json:"pid"`
+	Mark        int       `json:"mark"`
+	Connections []Offered `json:"connections"`
+}
+
+const (
+	// takenWithin is how long an offer stands; a line that comes meanwhile is held back.
+	takenWithin = 300 * time.Millisecond
+	offerLook   = 2 * time.Millisecond
+	offerMagic  = "onyxstream-offer-1"
+	// MostOffered bounds an offer: while it stands both processes hold its descriptors.
+	MostOffered = 16
+)
+
+// SocketOf tells a connection's descriptor.
+func SocketOf(c *net.TCPConn) (s Socket, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return s, err
+	}
+	s.To = c.RemoteAddr().String()
+	return s, raw.Control(func(fd uintptr) { s.FD = int(fd) })
+}
+
+func (s *Store) offerName(pid int) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s-%d.offer", s.base, pid))
+}
+
+// Give offers connections and returns which of them another process has taken; an error says that none was.
+func (s *Store) Give(all []Offered) (taken []bool, err error) {
+	taken = make([]bool, len(all))
+	text, err := seal(offerMagic, offer{s.node, os.Getpid(), int(s.own.Fd()), all})
+	if err != nil {
+		return taken, err
+	}
+	name := s.offerName(os.Getpid())
+	if err := whole(name, text); err != nil {
+		return taken, err
+	}
+	for by := time.Now().Add(takenWithin); time.Now().Before(by); time.Sleep(offerLook) {
+		if _, err := os.Stat(name); errors.Is(err, fs.ErrNotExist) {
+			return s.outcome(taken)
+		}
+	}
+	if os.Rename(name, name+".back") == nil { // nobody can take it any more
+		_ = os.Remove(name + ".back")
+		return taken, errors.New("no process takes what is offered")
+	}
+	return s.outcome(taken) // it was taken just now
+}
+
+// outcome reads which connections of a taken offer were taken.
+func (s *Store) outcome(taken []bool) ([]bool, error) {
+	name := s.offerName(os.Getpid()) + ".taken"
+	defer func() { _ = os.Remove(name) }()
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return taken, err
+	}
+	for _, word := range strings.Fields(string(text)) {
+		if i, err := strconv.Atoi(word); err == nil && i >= 0 && i < len(taken) {
+			taken[i] = true
+		}
+	}
+	return taken, nil
+}
+
+// Taken is a connection that was taken from another process.
+type Taken struct {
+	Offered
+	ClientConn, PeerConn *net.TCPConn
+}
+
+// Take takes what other processes of this node offer; nothing is the usual case. An error says why something that is
+// offered can't be had; its process keeps that.
+func (s *Store) Take() (out []Taken, err error) {
+	names, err := filepath.Glob(filepath.Join(s.dir, s.base+"-*.offer"))
+	for _, name := range names {
+		if name == s.offerName(os.Getpid()) {
+			continue
+		}
+		got, failed := s.take(name)
+		out = append(out, got...)
+		if failed != nil {
+			err = failed
+		}
+	}
+	return out, err
+}
+
+func (s *Store) take(name string) (out []Taken, err error) {
+	text, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil // taken back
+	}
+	var o offer
+	if err == nil {
+		err = unseal(offerMagic, text, &o)
+	}
+	if err != nil || o.Node != s.node || name != s.offerName(o.PID) || o.PID == os.Getpid() || len(o.Connections) > MostOffered {
+		return nil, errors.Join(err, fmt.Errorf("%s is no offer", name))
+	}
+	from, err := s.from(o)
+	if err != nil {
+		return nil, err
+	}
+	defer unix.Close(from)
+	note, bad := "", error(nil)
+	for i, c := range o.Connections {
+		t := Taken{Offered: c}
+		if t.ClientConn, err = copySocket(from, c.Client); err == nil {
+			if t.PeerConn, err = copySocket(from, c.Peer); err != nil {
+				_ = t.ClientConn.Close()
+			}
+		}
+		if err != nil {
+			bad = err
+			continue
+		}
+		out = append(out, t)
+		note += strconv.Itoa(i) + " "
+	}
+	// The note must be there before the offer is gone.
+	if err := whole(name+".taken", []byte(note)); err != nil {
+		return drop(out), err
+	}
+	if err := os.Rename(name, name+".gone"); err != nil {
+		_ = os.Remove(name + ".taken")
+		return drop(out), nil // taken back meanwhile
+	}
+	_ = os.Remove(name + ".gone")
+	return out, bad
+}
+
+// drop closes this process's copies; the connections stay with the process that offered them.
+func drop(all []Taken) []Taken {
+	for _, t := range all {
+		_ = t.ClientConn.Close()
+		_ = t.PeerConn.Close()
+	}
+	return nil
+}
+
+func pidfd(pid int) (int, error) { return unix.PidfdOpen(pid, 0) }
+
+// from opens the process of an offer, proved by the mark of the node that it holds.
+func (s *Store) from(o offer) (pid int, err error) {
+	if pid, err = pidfd(o.PID); err != nil {
+		return -1, fmt.Errorf("process %d: %w", o.PID, err)
+	}
+	mark, err := unix.PidfdGetfd(pid, o.Mark, 0)
+	if err == nil {
+		var is, want unix.Stat_t
+		err = errors.Join(unix.Fstat(mark, &is), unix.Stat(filepath.Join(s.dir, fmt.Sprintf("%s-%d.alive", s.base, o.PID)), &want))
+		_ = unix.Close(mark)
+		if err == nil && (is.Dev != want.Dev || is.Ino != want.Ino) {
+			err = errors.New("it is not the one that wrote the offer")
+		}
+	}
+	if err != nil {
+		_ = unix.Close(pid)
+		return -1, fmt.Errorf("process %d: %w", o.PID, err)
+	}
+	return pid, nil
+}
+
+// copySocket copies a connected socket of another process.
+func copySocket(pidfd int, s Socket) (*net.TCPConn, error) {
+	fd, err := unix.PidfdGetfd(pidfd, s.FD, 0)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", s.FD, err)
+	}
+	f := os.NewFile(uintptr(fd), "offered")
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", s.FD, err)
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok || t.RemoteAddr() == nil || t.RemoteAddr().String() != s.To {
+		_ = c.Close()
+		return nil, fmt.Errorf("descriptor %d is not connected with %s", s.FD, s.To)
+	}
+	return t, nil
+}
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -144,14 +144,7 @@
 	if err != nil {
 		return err
 	}
-	// The rename makes it whole or not there for other processes and for a kill at any point. It need not outlive the
-	// machine, so nothing waits for a disk.
-	tmp := s.path() + ".new"
-	if err := os.WriteFile(tmp, text, 0o600); err != nil {
-		_ = os.Remove(tmp)
-		return err
-	}
-	if err := os.Rename(tmp, s.path()); err != nil {
+	if err := whole(s.path(), text); err != nil {
 		return err
 	}
 	s.last = d
@@ -159,6 +152,17 @@
 	return nil
 }
 
+// whole writes a file that is whole or not there, for other processes and for a kill at any point. It need not outlive
+// the machine, so nothing waits for a disk.
+func whole(name string, text []byte) error {
+	tmp := name + ".new"
+	if err := os.WriteFile(tmp, text, 0o600); err != nil {
+		_ = os.Remove(tmp)
+		return err
+	}
+	return os.Rename(tmp, name)
+}
+
 // Mark is what a process tells of itself.
 type Mark struct {
 	Ready       bool
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -94,6 +94,10 @@
 		both.follow(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		both.adopt(ctx)
+		return nil
+	})
 	if len(asked) > 0 {
 		g.Go(func() error { return orders.Serve(ctx, asked...) })
 	}
@@ -109,12 +113,12 @@
 		select {
 		case <-stop.Done():
 			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
-			until := noticed
 			if l.inherited && both.ready() { // who waits at the door is the other process's
-				until = 0
 				l.Close()
+				hand(n, d, cfg.Settings.Settings, both)
+			} else {
+				drain(n, cfg.Settings.Settings)
 			}
-			drain(n, cfg.Settings.Settings, until)
 			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
 		case <-ctx.Done():
 		}
@@ -155,18 +159,35 @@
 // pass through, what is open goes on here for as long as that, and then by way of other nodes, one of which may just
 // have come back; elsewhere every client is sent away, spread over the time there is so that the others don't get
 // them all at once.
-func drain(n *node.Node, set brain.Settings, noticed time.Duration) {
-	start := time.Now()
+func drain(n *node.Node, set brain.Settings) {
+	by := lastMoment(set)
+	time.Sleep(noticed)
+	if !set.Pass {
+		n.MoveAll(by.Add(-4 * early))
+	}
+	for time.Now().Before(by) && n.Owed()+n.Open() > 0 {
+		time.Sleep(poll)
+	}
+}
+
+// lastMoment is when a node that is told to stop now is gone at the latest.
+func lastMoment(set brain.Settings) time.Time {
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	by := start.Add(min(longest, mostWait) + killGrace - early)
-	time.Sleep(noticed)
-	if !set.Pass {
+	return time.Now().Add(min(longest, mostWait) + killGrace - early)
+}
+
+// hand ends a process beside the one that takes over: what stands goes there, what is wanted is answered here and goes
+// there once it stands, and whoever was accepted is heard. Where nothing can be handed over, all are sent away, spread
+// over the time there is: no packet of theirs would find its way to another process.
+func hand(n *node.Node, d *driver.Driver, set brain.Settings, both *shared) {
+	by := lastMoment(set)
+	if !both.give(n, by) {
 		n.MoveAll(by.Add(-4 * early))
 	}
-	for time.Now().Before(by) && n.Owed()+n.Open() > 0 {
+	for time.Now().Before(by) && n.Owed()+n.Open()+int64(d.Unheard()) > 0 {
 		time.Sleep(poll)
 	}
 }
--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,15 +29,16 @@
 	store  *handover.Store // nil where nothing can be shared
 	orders *control.Server
 
-	mu   sync.Mutex // an order and what others were told are taken in one after the other
-	seen uint64     // the document's changes that are in force here
-	alone,
-	failed bool // no other process was there when last looked; the folder could not be used
+	mu     sync.Mutex  // an order and what others were told are taken in one after the other
+	seen   uint64      // the document's changes that are in force here
+	failed bool        // the folder could not be used
+	alone  atomic.Bool // no other process was there when last looked
 }
 
 // newShared opens the folder where operators can call the node or the platform may start it twice.
 func newShared(cfg Config, n *node.Node, d *driver.Driver, log *zap.Logger) *shared {
-	s := &shared{cfg: cfg, node: n, driver: d, log: log, alone: true}
+	s := &shared{cfg: cfg, node: n, driver: d, log: log}
+	s.alone.Store(true)
 	if cfg.Management == "" && os.Getenv(acceptVar) == "" {
 		return s
 	}
@@ -114,13 +116,12 @@
 		sockets -= o.Descriptors
 		memory = s.cfg.MemoryMB / 2
 	}
-	if alone := len(others) == 0; !alone || !s.alone {
+	if alone := len(others) == 0; !alone || !s.alone.Load() {
 		s.driver.Share(sockets)
 		debug.SetMemoryLimit(heap(memory))
-		if alone != s.alone {
+		if s.alone.Swap(alone) != alone {
 			s.log.Info("processes of this node", zap.Int("others", len(others)))
 		}
-		s.alone = alone
 	}
 }
 
--- /dev/null
+++ b/internal/lifecycle/takeover.go
@@ -0,0 +1,90 @@
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/driver"
+	"onyxstream/internal/handover"
+	"onyxstream/internal/node"
+)
+
+// offerAt is how often a process looks for connections that another one offers, while there is another one: their
+// clients wait for it.
+const offerAt = 5 * time.Millisecond
+
+// give hands the connections that stand to the process that takes over, until none is left or the time is up. It reports
+// whether they can be handed over at all: where the system does not let one process reach into another, they stay.
+func (s *shared) give(n *node.Node, by time.Time) bool {
+	given, refused := 0, 0
+	for time.Now().Before(by) && n.Open()+n.Owed() > 0 && s.ready() {
+		standing, done := s.driver.Park(handover.MostOffered)
+		if len(standing) == 0 {
+			time.Sleep(poll) // what is being brought up goes over once it stands
+			continue
+		}
+		taken, err := s.store.Give(offers(standing))
+		if err != nil {
+			s.log.Warn("connections are not taken over", zap.Error(err))
+		}
+		none := true
+		for i, f := range done {
+			f(taken[i])
+			if none = none && !taken[i]; taken[i] {
+				given++
+			}
+		}
+		if none {
+			time.Sleep(poll)
+			if refused++; refused >= 2 && given == 0 {
+				return false
+			}
+		}
+	}
+	s.log.Info("connections were handed over", zap.Int("given", given), zap.Int64("left", n.Open()))
+	return true
+}
+
+func offers(standing []driver.Standing) (out []handover.Offered) {
+	for _, c := range standing {
+		o := handover.Offered{Line: c.Line, Host: c.Host, Partial: c.Partial, Load: c.Load}
+		o.Client, _ = handover.SocketOf(c.Client) // one that is closed meanwhile has no descriptor, and is not taken
+		o.Peer, _ = handover.SocketOf(c.Peer)
+		out = append(out, o)
+	}
+	return out
+}
+
+// adopt takes up what other processes offer, until the context ends.
+func (s *shared) adopt(ctx context.Context) {
+	if s.store == nil {
+		return
+	}
+	failed := false
+	for ctx.Err() == nil {
+		wait := lookAt
+		if !s.alone.Load() {
+			wait = offerAt
+			all, err := s.store.Take()
+			if err != nil && !failed {
+				s.log.Warn("connections of another process can't be taken over", zap.Error(err))
+			}
+			failed = err != nil
+			for _, t := range all {
+				err := s.driver.Adopt(driver.Standing{Line: t.Line, Host: t.Host, Client: t.ClientConn, Peer: t.PeerConn,
+					Partial: t.Partial, Load: t.Load})
+				if err != nil {
+					s.log.Error("a connection that was taken over can't go on", zap.Error(err))
+					_ = t.ClientConn.Close()
+					_ = t.PeerConn.Close()
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -394,6 +394,7 @@
 // speak sends lines at their times, and returns what ends that. A line that is due while the one before is still
 // being written is sent late, and its time counts from when it was due.
 func (e *engine) speak(r *Request, path string, a *answer) (stop func()) {
+	c := a.c // the answer forgets it when it is closed, and a line may be due at that moment
 	due := e.now() + time.Duration(requestRand(e.s.Seed^0x6d7367, r.N).Float64()*float64(r.Message))
 	var over atomic.Bool
 	var timer atomic.Pointer[time.Timer]
@@ -402,7 +403,7 @@
 			return
 		}
 		e.stats.with(path, r.Class, func(t *tally) { t.sent++ })
-		if _, err := io.WriteString(a.c, "M "+strconv.FormatInt(int64(due), 36)+"\r\n"); err != nil {
+		if _, err := io.WriteString(c, "M "+strconv.FormatInt(int64(due), 36)+"\r\n"); err != nil {
 			return
 		}
 		due += r.Message
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -69,7 +69,7 @@
 		ev.Servers = append(ev.Servers, s)
 	}
 	for id, m := range n.members {
-		if kind != brain.ListChange && !named[id] {
+		if (kind == brain.ListFull || kind == brain.ListCached) && !named[id] {
 			m.tell(brain.Gone, now)
 			m.out = true
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 // Attempt is what a connection needs to know of a send.
 type Attempt struct {
 	N       int
+	Host    brain.ServerID
 	Addr    string
 	Timeout time.Duration
 }
@@ -556,7 +557,7 @@
 		return
 	}
 	r.on, r.out = m, true
-	r.port.Send(Attempt{N: at, Addr: m.addr, Timeout: a.Timeout})
+	r.port.Send(Attempt{N: at, Host: m.id, Addr: m.addr, Timeout: a.Timeout})
 }
 
 // move sends a client away whose connection stands; once is enough.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if m != nil && m.state != brain.Gone {
-		n.list(&wire.Catalog{Revision: n.revision, Members: []wire.Member{m.listed}}, brain.ListChange)
+		n.list(&wire.Catalog{Revision: n.revision, Members: []wire.Member{m.listed}}, brain.ListAside)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/node/orders_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// A word that comes before the first list, as over an upgrade, must not pass for news of discovery: the node that took
+// it for that never asked.
+func TestAWordBeforeTheFirstListDoesNotPassForAWatch(t *testing.T) {
+	n, w, _ := held(t, entry("a", wire.Serving), entry("b", wire.Serving))
+	for _, out := range []bool{true, false} {
+		if err := n.word("a", out, false, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	deadline := n.now() + n.set.AskWithin
+	for now := n.now(); now < deadline && len(w.watches) == 0; now += 200 * time.Millisecond {
+		for _, a := range n.brain.Handle(now, brain.Timer{Token: "sweep"}) {
+			n.act(a)
+		}
+	}
+	if len(w.watches) != 1 {
+		t.Errorf("discovery is asked %d times", len(w.watches))
+	}
+}
+
+// A host that an operator calls back is cold from then on, though the list says that it started long ago; one that was
+// never out is as warm as it was.
+func TestAHostThatIsCalledBackIsCold(t *testing.T) {
+	n, _, _ := held(t, entry("a", wire.Serving), entry("b", wire.Serving))
+	at := time.Now()
+	for _, step := range []struct {
+		out  bool
+		want int64
+	}{{false, 0}, {true, 0}, {true, 0}, {false, at.UnixMilli()}} {
+		if err := n.word("a", step.out, true, at); err != nil {
+			t.Fatal(err)
+		}
+		if n.backs["a"] != step.want {
+			t.Errorf("out %v: called back at %d, want %d", step.out, n.backs["a"], step.want)
+		}
+	}
+	if n.words["a"] || n.members["a"].state != brain.Live {
+		t.Error("two words out need one back")
+	}
+	if err := n.word("nobody", false, true, at); err != ErrUnknown {
+		t.Errorf("an id that nobody has: %v", err)
+	}
+	if err := n.word("later", true, false, at); err != nil || !n.words["later"] {
+		t.Errorf("an id that is listed only later: %v", err)
+	}
+	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("later", wire.Serving)}}, brain.ListChange)
+	if n.members["later"].state != brain.Draining {
+		t.Error("it is used when it comes")
+	}
+	if n.tally(); n.targets.Load() != 3 || n.avoided.Load() != 1 {
+		t.Errorf("%d hosts, %d avoided", n.targets.Load(), n.avoided.Load())
+	}
+}
+
+// The list and the address of a host may change as they like while it is out, and a connection that was on its way
+// there when the word came is not written once the grace has run.
+func TestAHostThatIsOutStaysOut(t *testing.T) {
+	n, _, _ := held(t, entry("a", wire.Serving))
+	p := arrive(t, n, "r")
+	if got := p.heard(); got == "" {
+		t.Fatal("it was not sent")
+	}
+	if err := n.word("a", true, true, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	n.members["a"].toldAt = time.Now().Add(-time.Second)
+	n.take(event{kind: evConnected, id: "r"})
+	if got := p.heard(); !strings.HasSuffix(got, "go 0 false") {
+		t.Errorf("a dial that comes up late: %q", got)
+	}
+	again := entry("a", wire.Serving)
+	again.Addr, again.UpSince = "elsewhere:1", time.Now().UnixMilli()
+	gone := entry("a", wire.Deleted)
+	for _, c := range []struct {
+		m    wire.Member
+		kind brain.ListKind
+	}{{again, brain.ListChange}, {gone, brain.ListChange}, {again, brain.ListChange}, {again, brain.ListFull}} {
+		n.list(&wire.Catalog{Revision: n.revision + 1, Complete: c.kind == brain.ListFull, Members: []wire.Member{c.m}}, c.kind)
+		if n.members["a"].state == brain.Live {
+			t.Errorf("with %+v it is used", c.m)
+		}
+	}
+	q := arrive(t, n, "s")
+	if got := q.heard(); got != "refuse true" {
+		t.Errorf("with all hosts out: %q", got)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -82,6 +82,9 @@
 // Between reports whether what was given out ends with a line.
 func (r *Relay) Between() bool { return !r.torn }
 
+// Ending reports whether the host has said that it ends the connection.
+func (r *Relay) Ending() bool { return r.last == AnswerBye || r.last == AnswerMove }
+
 // Last tells the last whole line: BYE or MOVE before the end say why it ended.
 func (r *Relay) Last() Answer { return r.last }
 
