Errors of one host no longer pace all set-ups

Checked in its debug log: every set-up took 10 to 94 ms against aims of 300 and more; all failures were ERR at once from one host (h3), each preceding the pacing. Ruled out: the session store (no slow set-up), refusals by limits (no cut before). At fault: brain.shared, which took two errors of one host in a row for what all hosts call; with few set-ups a node that is a third of them. A server that failed the last counted set-up is not counted again until another one fails.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -185,8 +185,14 @@
 // shared takes in how long a set-up took, twice its aim for one that failed. Set-ups slow on the whole come
 // from what they all call; sending on as clients return in a wave keeps that jammed. So the time between
 // sends grows by half, once for all that was sent before, and shrinks with time, not with good set-ups alone:
-// where few connections come, those kept nodes paced long after the jam. A single error paces nothing.
-func (b *Brain) shared(r *request, a *attempt, took time.Duration) {
+// where few connections come, those kept nodes paced long after the jam. A single error paces nothing, nor do
+// those of one server alone: where hosts are few, one that fails was taken for what all of them call.
+func (b *Brain) shared(r *request, a *attempt, took time.Duration, failed bool) {
+	if failed && a.to == b.failing {
+		return
+	} else if failed {
+		b.failing = a.to
+	}
 	b.setup += (took - b.setup) / 8
 	if b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
 		return
@@ -449,7 +455,7 @@
 	if r, a := b.running(e.ID, e.Attempt); r != nil && r.conn == nil {
 		r.conn = a.to
 		b.placed, b.total = b.placed+1, b.total+1
-		b.shared(r, a, e.Took)
+		b.shared(r, a, e.Took, false)
 		b.well(r.conn)
 	}
 }
@@ -470,11 +476,11 @@
 	case e.Outcome == NoConnect:
 		b.strike(s, 4*aim)
 	case e.Outcome == NoAnswer:
-		if b.shared(r, a, min(e.Took, aim)); e.Took >= aim {
+		if b.shared(r, a, min(e.Took, aim), true); e.Took >= aim {
 			b.strike(s, 4*aim)
 		}
 	case e.Outcome == Errored || e.Outcome == Full || e.Outcome == Reset:
-		b.shared(r, a, 2*aim)
+		b.shared(r, a, 2*aim, true)
 		b.strike(s, aim)
 	}
 	b.count(s, r, -1)
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -245,3 +245,24 @@
 		t.Error("the only connection broken limits the server")
 	}
 }
+
+// Where hosts are few, one that errs must not pace all set-ups: the others are quick. Errors of several do.
+func TestErrorsOfOneServerPaceNothing(t *testing.T) {
+	b, _ := crowded(t, testSettings(), 0)
+	fail := func(on ServerID) {
+		b.now += time.Millisecond
+		b.shared(&request{}, &attempt{to: b.servers[on], at: b.now}, 2*b.set.Classes[0].SetupAim, true)
+	}
+	for i := range 8 {
+		if fail("a"); b.gap > 0 {
+			t.Fatalf("paced after %d errors of one server", i+1)
+		}
+	}
+	for range 4 {
+		fail("b")
+		fail("a")
+	}
+	if b.gap == 0 {
+		t.Error("not paced though several servers fail")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -53,6 +53,7 @@
 
 	gap, nextSend, cutAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                time.Duration // what a set-up takes of late, over all servers
+	failing              *server       // the one that failed a set-up last
 	held                 []*request    // wait for a report or their turn
 	open                 int           // connections and attempts under way, and those of each group
 	groups               map[string]int
