--- a/cmd/onyxstream/upgrade_test.go
+++ b/cmd/onyxstream/upgrade_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -279,3 +280,35 @@
 		}
 	}
 }
+
+// Where connections can't go over, their clients are moved before the older process ends, and none is cut off.
+func TestWhatCanNotBeHandedOverIsMoved(t *testing.T) {
+	t.Parallel()
+	a := newHost(t, "ha")
+	known := list(1, true, a.member("SERVING"))
+	reg := newRegistry(t, known)
+	addr, f := door(t)
+	dir := t.TempDir()
+	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), env: []string{"TMPDIR=" + dir}}
+	p := start(t, o, reg.addr)
+	var on []*client
+	for range 5 {
+		on = append(on, p.open(t, ""))
+		on[len(on)-1].hears("UP")
+	}
+	marks, err := filepath.Glob(dir + "/*.alive")
+	if err != nil || len(marks) != 1 {
+		t.Fatalf("%v, %v", marks, err)
+	}
+	if err := os.Mkdir(strings.TrimSuffix(marks[0], ".alive")+".offer", 0o700); err != nil { // no offer can be written
+		t.Fatal(err)
+	}
+	upgrade(t, o, reg.addr)
+	p.signal(t)
+	for _, k := range on {
+		k.hears("MOVE")
+		k.ends(false)
+	}
+	p.logs(t, "connections are not taken over")
+	p.ended(t)
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -184,8 +184,8 @@
 // over the time there is: no packet of theirs would find its way to another process.
 func hand(n *node.Node, d *driver.Driver, set brain.Settings, both *shared) {
 	by := lastMoment(set)
-	if !both.give(n, by) {
-		n.MoveAll(by.Add(-4 * early))
+	if both.give(n, by.Add(-5*early)); n.Open() > 0 {
+		n.MoveAll(by.Add(-2 * early))
 	}
 	for time.Now().Before(by) && n.Owed()+n.Open()+int64(d.Unheard()) > 0 {
 		time.Sleep(poll)
--- a/internal/lifecycle/takeover.go
+++ b/internal/lifecycle/takeover.go
@@ -15,9 +15,9 @@
 // clients wait for it.
 const offerAt = 5 * time.Millisecond
 
-// give hands the connections that stand to the process that takes over, until none is left or the time is up. It reports
-// whether they can be handed over at all: where the system does not let one process reach into another, they stay.
-func (s *shared) give(n *node.Node, by time.Time) bool {
+// give hands the connections that stand to the process that takes over, until none is left or the time is up. Where the
+// system does not let one process reach into another, it gives up at the second try.
+func (s *shared) give(n *node.Node, by time.Time) {
 	given, refused := 0, 0
 	for time.Now().Before(by) && n.Open()+n.Owed() > 0 && s.ready() {
 		standing, done := s.driver.Park(handover.MostOffered)
@@ -39,12 +39,11 @@
 		if none {
 			time.Sleep(poll)
 			if refused++; refused >= 2 && given == 0 {
-				return false
+				break
 			}
 		}
 	}
 	s.log.Info("connections were handed over", zap.Int("given", given), zap.Int64("left", n.Open()))
-	return true
 }
 
 func offers(standing []driver.Standing) (out []handover.Offered) {
