The next process holds pings against the best that the one before has seen

In the debug log one host had pings of 5 to 8 ms where 1 to 3 were its best before the upgrade, and moved eight clients then at 5 ms; after the upgrade none at 7. Ruled out: broken connections (6 in all), pacing (over by 15.3 s). At fault: node.pinged holds a ping against the shortest one seen by its own process, and a process that takes over under load sees none that is short. What is known goes with the offers of connections now, for the same start of a host.

--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -43,6 +43,15 @@
 	PID         int       `json:"pid"`
 	Mark        int       `json:"mark"`
 	Connections []Offered `json:"connections"`
+	Facts       []Fact    `json:"facts"`
+}
+
+// Fact is what a process has learnt of a host, and the next one would learn too late: under load, a host's best is not
+// seen.
+type Fact struct {
+	Host  string        `json:"host"`
+	Since int64         `json:"since"` // its start, as listed, Unix time in milliseconds
+	Best  time.Duration `json:"best_ns"`
 }
 
 const (
@@ -52,6 +61,7 @@
 	offerMagic  = "onyxstream-offer-1"
 	// MostOffered bounds an offer: while it stands both processes hold its descriptors.
 	MostOffered = 16
+	mostFacts   = 1024
 )
 
 // SocketOf tells a connection's descriptor.
@@ -69,9 +79,9 @@
 }
 
 // Give offers connections and returns which of them another process has taken; an error says that none was.
-func (s *Store) Give(all []Offered) (taken []bool, err error) {
+func (s *Store) Give(all []Offered, facts []Fact) (taken []bool, err error) {
 	taken = make([]bool, len(all))
-	text, err := seal(offerMagic, offer{s.node, os.Getpid(), int(s.own.Fd()), all})
+	text, err := seal(offerMagic, offer{s.node, os.Getpid(), int(s.own.Fd()), all, facts[:min(len(facts), mostFacts)]})
 	if err != nil {
 		return taken, err
 	}
@@ -115,36 +125,36 @@
 
 // Take takes what other processes of this node offer; nothing is the usual case. An error says why something that is
 // offered can't be had; its process keeps that.
-func (s *Store) Take() (out []Taken, err error) {
+func (s *Store) Take() (out []Taken, facts []Fact, err error) {
 	names, err := filepath.Glob(filepath.Join(s.dir, s.base+"-*.offer"))
 	for _, name := range names {
 		if name == s.offerName(os.Getpid()) {
 			continue
 		}
-		got, failed := s.take(name)
-		out = append(out, got...)
+		got, known, failed := s.take(name)
+		out, facts = append(out, got...), append(facts, known...)
 		if failed != nil {
 			err = failed
 		}
 	}
-	return out, err
+	return out, facts, err
 }
 
-func (s *Store) take(name string) (out []Taken, err error) {
+func (s *Store) take(name string) (out []Taken, facts []Fact, err error) {
 	text, err := os.ReadFile(name)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil // taken back
+		return nil, nil, nil // taken back
 	}
 	var o offer
 	if err == nil {
 		err = unseal(offerMagic, text, &o)
 	}
-	if err != nil || o.Node != s.node || name != s.offerName(o.PID) || o.PID == os.Getpid() || len(o.Connections) > MostOffered {
-		return nil, errors.Join(err, fmt.Errorf("%s is no offer", name))
+	if err != nil || o.Node != s.node || name != s.offerName(o.PID) || o.PID == os.Getpid() || len(o.Connections) > MostOffered || len(o.Facts) > mostFacts {
+		return nil, nil, errors.Join(err, fmt.Errorf("%s is no offer", name))
 	}
 	from, err := s.from(o)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer unix.Close(from)
 	note, bad := "", error(nil)
@@ -164,14 +174,14 @@
 	}
 	// The note must be there before the offer is gone.
 	if err := whole(name+".taken", []byte(note)); err != nil {
-		return drop(out), err
+		return drop(out), nil, err
 	}
 	if err := os.Rename(name, name+".gone"); err != nil {
 		_ = os.Remove(name + ".taken")
-		return drop(out), nil // taken back meanwhile
+		return drop(out), nil, nil // taken back meanwhile
 	}
 	_ = os.Remove(name + ".gone")
-	return out, bad
+	return out, o.Facts, bad
 }
 
 // drop closes this process's copies; the connections stay with the process that offered them.
--- a/internal/handover/offer_test.go
+++ b/internal/handover/offer_test.go
@@ -13,14 +13,14 @@
 	dir := t.TempDir()
 	s := open(t, dir, "n1")
 	defer s.Close()
-	taken, err := s.Give([]Offered{{Line: "OPEN a b"}})
+	taken, err := s.Give([]Offered{{Line: "OPEN a b"}}, nil)
 	if err == nil || len(taken) != 1 || taken[0] {
 		t.Errorf("%v, %v", taken, err)
 	}
 	if names, _ := filepath.Glob(filepath.Join(dir, "*.offer*")); len(names) > 0 {
 		t.Errorf("left are %v", names)
 	}
-	if out, err := s.Take(); len(out) > 0 || err != nil {
+	if out, _, err := s.Take(); len(out) > 0 || err != nil {
 		t.Errorf("its own: %v, %v", out, err)
 	}
 }
@@ -42,7 +42,7 @@
 	}
 	refused := func(what, why string) {
 		t.Helper()
-		out, err := s.Take()
+		out, _, err := s.Take()
 		if len(out) > 0 || err == nil || !strings.Contains(err.Error(), why) {
 			t.Errorf("%s: %v, %v", what, out, err)
 		}
--- a/internal/lifecycle/takeover.go
+++ b/internal/lifecycle/takeover.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"onyxstream/brain"
 	"onyxstream/internal/driver"
 	"onyxstream/internal/handover"
 	"onyxstream/internal/node"
@@ -19,13 +20,17 @@
 // system does not let one process reach into another, it gives up at the second try.
 func (s *shared) give(n *node.Node, by time.Time) {
 	given, refused := 0, 0
+	var facts []handover.Fact
+	for _, f := range n.Facts() {
+		facts = append(facts, handover.Fact{Host: string(f.Host), Since: f.Since, Best: f.Best})
+	}
 	for time.Now().Before(by) && n.Open()+n.Owed() > 0 && s.ready() {
 		standing, done := s.driver.Park(handover.MostOffered)
 		if len(standing) == 0 {
 			time.Sleep(poll) // what is being brought up goes over once it stands
 			continue
 		}
-		taken, err := s.store.Give(offers(standing))
+		taken, err := s.store.Give(offers(standing), facts)
 		if err != nil {
 			s.log.Warn("connections are not taken over", zap.Error(err))
 		}
@@ -66,11 +71,18 @@
 		wait := lookAt
 		if !s.alone.Load() {
 			wait = offerAt
-			all, err := s.store.Take()
+			all, facts, err := s.store.Take()
 			if err != nil && !failed {
 				s.log.Warn("connections of another process can't be taken over", zap.Error(err))
 			}
 			failed = err != nil
+			if len(facts) > 0 {
+				learnt := make([]node.Fact, 0, len(facts))
+				for _, f := range facts {
+					learnt = append(learnt, node.Fact{Host: brain.ServerID(f.Host), Since: f.Since, Best: f.Best})
+				}
+				s.node.Learn(learnt)
+			}
 			for _, t := range all {
 				err := s.driver.Adopt(driver.Standing{Line: t.Line, Host: t.Host, Client: t.ClientConn, Peer: t.PeerConn,
 					Partial: t.Partial, Load: t.Load})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,8 @@
 	evLeave
 	evWord
 	evView
+	evFacts
+	evLearn
 )
 
 type event struct {
@@ -144,6 +146,8 @@
 	call    uint64
 	reply   chan place
 	view    chan View
+	facts   []Fact
+	tell    chan []Fact
 	text    string
 	away    *Away
 	must    bool
@@ -426,6 +430,10 @@
 		}
 	case evMoveAll:
 		n.moveBy = e.until
+	case evFacts:
+		e.tell <- n.facts() // has room
+	case evLearn:
+		n.learn(e.facts)
 	case evLeave, evWord, evView:
 		n.order(e)
 	}
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -96,3 +96,24 @@
 		t.Errorf("with all hosts out: %q", got)
 	}
 }
+
+// A process that takes over under load holds pings against the best that the one before has seen: by its own first one a
+// host that is three times as slow passes for well.
+func TestTheBestPingGoesOver(t *testing.T) {
+	old, _, _ := held(t, entry("a", wire.Serving), entry("b", wire.Serving))
+	old.members["a"].best = time.Millisecond
+	n, _, _ := held(t, entry("a", wire.Serving), entry("b", wire.Serving))
+	n.members["a"].best = 3 * time.Millisecond
+	n.learn(old.facts())
+	if n.members["a"].best != time.Millisecond || n.members["b"].best != 0 {
+		t.Errorf("learnt %v, %v", n.members["a"].best, n.members["b"].best)
+	}
+	n.members["a"].best, n.members["a"].since = 0, 7 // it has restarted
+	if n.learn(old.facts()); n.members["a"].best != 0 {
+		t.Error("another start of the host is taken for the same")
+	}
+	n.learn([]Fact{{"nobody", 0, 1}, {"a", 7, -1}})
+	if n.members["a"].best != 0 || len(n.members) != 2 {
+		t.Error("nonsense is learnt")
+	}
+}
