A host called back is used again soon; a successor that comes late takes over

With twelve hosts and some seven requests in that time at a node, an entry of the host does not come up in half of the cases. The module gives it the next request that may go there two seconds after the call, within its cold budget. Not taken: probing it, which operators don't see, and a larger share of the table, which lasts.

SIGTERM before the new process is ready: the old one went on accepting until its end and left what stood to the kill. It looks for a successor all the while now, and hands over when there is one.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	groupReach  = 4 // how many servers past its place a connection of a group may newly go to in a short fleet
-	blindPlaces = 4 // places of a group where a node sees too little to tell large groups from small ones
+	backWithin  = 2 * time.Second // after which a server that was called back is used for want of another occasion
+	groupReach  = 4               // how many servers past its place a connection of a group may newly go to in a short fleet
+	blindPlaces = 4               // places of a group where a node sees too little to tell large groups from small ones
 	// A server is skipped, as in the design, over skipFactor times the mean and from skipFloor connections on.
 	skipFactor, skipFloor = 1.5, 2
 
@@ -234,6 +235,7 @@
 	} else {
 		left = min(left, max(aim, 4*b.setup))
 	}
+	b.used(s)
 	r.attempts = append(r.attempts, attempt{to: s, at: b.now, out: true})
 	b.count(s, r, 1)
 	if b.coldness(s) < 1 {
@@ -344,6 +346,13 @@
 // that entry changes; where that one is barred, the first that fits of those that its group's entry and the
 // next ones name, in the same order at every node.
 func (b *Brain) place(r *request) *server {
+	// One that operators called back is used again soon, to show them that it is, also where its entries come up
+	// seldom: once it has waited, it gets the next request that may go there.
+	for _, s := range b.backs {
+		if b.now >= s.backAt+backWithin && !r.MidFlow && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+			return s
+		}
+	}
 	at, own, places := b.home(r)
 	b.walks++
 	var best *server
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -38,12 +38,14 @@
 		named[row.ID] = row.State != Gone
 		if s := b.servers[row.ID]; s != nil && row.State != Live {
 			b.table.drain(s, b.now)
+			b.used(s)
 		}
 	}
 	for _, s := range slices.Clone(b.table.holders) {
 		if held, told := named[s.id]; !held && (told || e.Kind == ListFull || e.Kind == ListCached) {
 			b.table.drain(s, b.now)
 			b.table.drained(s)
+			b.used(s)
 			b.forget(s)
 		}
 	}
@@ -67,6 +69,9 @@
 		if s.state == draining { // called back
 			b.table.drained(s)
 		}
+		if e.Kind == ListAside && s.backAt == 0 {
+			s.backAt, b.backs = b.now, append(b.backs, s)
+		}
 		if initial = append(initial, s); len(b.table.first) > 0 {
 			b.table.fill(s, b.now)
 		}
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -266,3 +266,45 @@
 		t.Error("not paced though several servers fail")
 	}
 }
+
+// A server that operators called back is used again soon, also where none of the clients that come leads there; once is
+// enough, and not while it may not be.
+func TestAServerThatWasCalledBackIsUsedSoon(t *testing.T) {
+	s := testSettings()
+	b, _ := crowded(t, s, 4)
+	out := func(now time.Duration, state ServerState) {
+		b.Handle(now, ListEvent{Kind: ListAside, Servers: []Server{{ID: "b", Weight: 1, State: state}}})
+	}
+	at := time.Minute
+	on := map[ServerID]int{}
+	key := func() string { // one that leads to a
+		for i := 0; ; i++ {
+			r := &request{Arrival: Arrival{Key: fmt.Sprint("key", i)}}
+			if h, place, places := b.home(r); b.table.first[b.entry(h, place, places, 0)] == b.servers["a"] {
+				return r.Key
+			}
+		}
+	}
+	come := func(now time.Duration, id string) {
+		t.Helper()
+		for _, a := range sends(b.Handle(now, Arrival{ID: RequestID(id), Key: key(), Left: time.Second})) {
+			on[a.Server]++
+			b.Handle(now, Settled{ID: RequestID(id), Server: a.Server, Outcome: Errored, Final: true})
+			b.servers[a.Server].suspect = 0
+		}
+	}
+	out(at, Draining)
+	out(at+time.Second, Live)
+	if come(at+time.Second, "early"); on["a"] != 1 {
+		t.Errorf("at once: %v", on)
+	}
+	come(at+4*time.Second, "due")
+	if come(at+5*time.Second, "after"); on["b"] != 1 || on["a"] != 2 {
+		t.Errorf("then: %v", on)
+	}
+	out(at+6*time.Second, Live)
+	out(at+7*time.Second, Draining)
+	if come(at+10*time.Second, "out again"); on["b"] != 1 || len(b.backs) > 0 {
+		t.Errorf("out again: %v", on)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -59,7 +60,8 @@
 	groups               map[string]int
 	tenants              []int // open connections of each, the last for requests of none
 
-	leaving Leave // the node's own drain
+	leaving Leave     // the node's own drain
+	backs   []*server // that operators called back and that have had nothing since, the first one first
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
@@ -83,6 +85,8 @@
 	load   float64        // their summed load
 	groups map[string]int // of each group, how many of them
 
+	backAt time.Duration // when an operator called it back, until it is used again; 0 for not
+
 	strikes int           // failures since the last success
 	suspect time.Duration // skipped until then
 
@@ -135,4 +139,11 @@
 	return s == nil || s.state == inactive || s.state == draining || b.shunned(s) && !b.trusting
 }
 
+// used notes that a server that was called back is in use again, or gone.
+func (b *Brain) used(s *server) {
+	if s.backAt > 0 {
+		s.backAt, b.backs = 0, slices.DeleteFunc(b.backs, func(o *server) bool { return o == s })
+	}
+}
+
 func byID(a, b *server) int { return cmp.Compare(a.id, b.id) }
--- a/cmd/onyxstream/upgrade_test.go
+++ b/cmd/onyxstream/upgrade_test.go
@@ -244,6 +244,30 @@
 	}
 	p.logs(t, "none of this program's")
 	p.open(t, "").hears("BUSY") // the word holds on
+	for _, n := range names { // nothing can be written there any more
+		if strings.HasSuffix(n.Name(), ".words") {
+			_ = os.Remove(damaged + "/" + n.Name())
+			if err := os.MkdirAll(damaged+"/"+n.Name()+"/full", 0o700); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	p.yes(t, "enable-server ha")
+	p.logs(t, "what is shared with other processes can't be used")
+	eventually(t, "it is used again", func() bool {
+		k := p.open(t, "")
+		line, _ := k.r.ReadString('\n')
+		_ = k.c.Close()
+		return strings.HasPrefix(line, "UP")
+	})
+	for _, n := range names {
+		if strings.HasSuffix(n.Name(), ".words") {
+			_ = os.RemoveAll(damaged + "/" + n.Name())
+			if err := os.WriteFile(damaged+"/"+n.Name(), []byte("no document"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
 	_ = p.cmd.Process.Signal(syscall.SIGKILL)
 	<-p.done
 	next := start(t, options{known: known, manage: freeAddr(t), env: []string{"TMPDIR=" + damaged}}, newRegistry(t, known).addr)
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -113,11 +113,10 @@
 		select {
 		case <-stop.Done():
 			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
-			if l.inherited && both.ready() { // who waits at the door is the other process's
-				l.Close()
-				hand(n, d, cfg.Settings.Settings, both)
-			} else {
-				drain(n, cfg.Settings.Settings)
+			by := lastMoment(cfg.Settings.Settings)
+			if drain(n, cfg.Settings.Pass, by, func() bool { return l.inherited && both.ready() }) {
+				l.Close() // who waits at the door is the other process's
+				hand(n, d, by, both)
 			}
 			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
 		case <-ctx.Done():
@@ -159,15 +158,20 @@
 // pass through, what is open goes on here for as long as that, and then by way of other nodes, one of which may just
 // have come back; elsewhere every client is sent away, spread over the time there is so that the others don't get
 // them all at once.
-func drain(n *node.Node, set brain.Settings) {
-	by := lastMoment(set)
-	time.Sleep(noticed)
-	if !set.Pass {
-		n.MoveAll(by.Add(-4 * early))
-	}
-	for time.Now().Before(by) && n.Owed()+n.Open() > 0 {
+// Should another process of the node be there to take over, now or in the meantime, it returns true at once.
+func drain(n *node.Node, pass bool, by time.Time, successor func() bool) bool {
+	start, moved := time.Now(), pass
+	for now := start; now.Before(by) && (now.Sub(start) < noticed || n.Owed()+n.Open() > 0); now = time.Now() {
+		if successor() {
+			return true
+		}
+		if !moved && now.Sub(start) >= noticed {
+			n.MoveAll(by.Add(-4 * early))
+			moved = true
+		}
 		time.Sleep(poll)
 	}
+	return false
 }
 
 // lastMoment is when a node that is told to stop now is gone at the latest.
@@ -182,8 +186,7 @@
 // hand ends a process beside the one that takes over: what stands goes there, what is wanted is answered here and goes
 // there once it stands, and whoever was accepted is heard. Where nothing can be handed over, all are sent away, spread
 // over the time there is: no packet of theirs would find its way to another process.
-func hand(n *node.Node, d *driver.Driver, set brain.Settings, both *shared) {
-	by := lastMoment(set)
+func hand(n *node.Node, d *driver.Driver, by time.Time, both *shared) {
 	if both.give(n, by.Add(-5*early)); n.Open() > 0 {
 		n.MoveAll(by.Add(-2 * early))
 	}
