Read again: a crash without descriptors, batches that waited, offers taken by another's name

Found on reading the whole change once more; each with a test that fails without its mend.

A crash: while the other process of a node holds most descriptors, Driver.heard fell to 0 or below, and take looked for the first of nobody (nil dereference, seen in the test). A few clients can always be heard now, to be refused. 2. Batches of an upgrade waited: of the time to hand over, 50 ms a batch were spent in Park in all but the first (timed for 50 connections: 0.3 ms, then 50 each). Connections that had gone over still stood in the driver's set, and were brought to rest again by goroutines that had ended. Two offers of a process had one name: who read the first and was late could have taken the second by it, and two processes would have had one connection. Each offer has its number. A note that can't be read counts as all taken, for the same reason. 4. Bounds: what is read of an offer is bounded; offers that a dead process left are taken away with its mark. 5. Simpler: the register takes its last note back whole instead of searching for it; orders by hand beside numbers, and orders that are not taken in, had no test. 6.

--- a/cmd/onyxstream/upgrade_bench_test.go
+++ b/cmd/onyxstream/upgrade_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -30,11 +29,7 @@
 
 func measureUpgrade(b *testing.B, n int, moved bool) {
 	h := newHost(b, "ha")
-	known := list(1, true, h.member("SERVING"))
-	reg := newRegistry(b, known)
-	addr, f := door(b)
-	dir := b.TempDir()
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(b), sockets: 4096, env: []string{"TMPDIR=" + dir}}
+	o, reg := inherited(b, h)
 	p := start(b, o, reg.addr)
 	var mu sync.Mutex
 	var during bool
@@ -78,10 +73,8 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if moved {
-		marks, _ := filepath.Glob(dir + "/*.alive")
-		if err := os.Mkdir(strings.TrimSuffix(marks[0], ".alive")+".offer", 0o700); err != nil {
-			b.Fatal(err)
-		}
+		marks, _ := filepath.Glob(o.tmp() + "/*.alive")
+		noOffers(b, marks[0])
 	}
 	mu.Lock()
 	during = true
--- a/cmd/onyxstream/upgrade_test.go
+++ b/cmd/onyxstream/upgrade_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"onyxstream/internal/wire"
 )
 
 // door is the clients' listening socket as the platform holds it.
@@ -28,6 +30,21 @@
 	return l.Addr().String(), f
 }
 
+// inherited is a node's configuration, with hosts that it knows, where the platform holds the clients' socket.
+func inherited(t testing.TB, hosts ...*host) (o options, reg *registry) {
+	t.Helper()
+	var members []wire.Member
+	for _, h := range hosts {
+		members = append(members, h.member("SERVING"))
+	}
+	o = options{known: list(1, true, members...), manage: freeAddr(t), sockets: 4096, env: []string{"TMPDIR=" + t.TempDir()}}
+	o.addr, o.inherit = door(t)
+	return o, newRegistry(t, o.known)
+}
+
+// tmp is the folder that the node's processes share.
+func (o options) tmp() string { return strings.TrimPrefix(o.env[0], "TMPDIR=") }
+
 // upgrade starts the program beside the one that runs, with an operators' address of its own.
 func upgrade(t testing.TB, o options, discovery string) *running {
 	t.Helper()
@@ -63,10 +80,7 @@
 func TestUpgradesUnderLoad(t *testing.T) {
 	t.Parallel()
 	a, b := newHost(t, "ha"), newHost(t, "hb")
-	known := list(1, true, a.member("SERVING"), b.member("SERVING"))
-	reg := newRegistry(t, known)
-	addr, f := door(t)
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), sockets: 1024, env: []string{"TMPDIR=" + t.TempDir()}}
+	o, reg := inherited(t, a, b)
 	p := start(t, o, reg.addr)
 	p.yes(t, "disable-server ha")
 	after := len(a.lines())
@@ -92,7 +106,7 @@
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				c, err := net.Dial("tcp", addr)
+				c, err := net.Dial("tcp", o.addr)
 				line := make([]byte, 64)
 				n := 0
 				if err == nil {
@@ -138,10 +152,7 @@
 func TestAWordToOneProcessBindsTheOther(t *testing.T) {
 	t.Parallel()
 	a, b := newHost(t, "ha"), newHost(t, "hb")
-	known := list(1, true, a.member("SERVING"), b.member("SERVING"))
-	reg := newRegistry(t, known)
-	addr, f := door(t)
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), env: []string{"TMPDIR=" + t.TempDir()}}
+	o, reg := inherited(t, a, b)
 	p := start(t, o, reg.addr)
 	next := upgrade(t, o, reg.addr)
 	disabled := func(p *running, want int) {
@@ -185,14 +196,11 @@
 func TestAnUpgradeThatFails(t *testing.T) {
 	t.Parallel()
 	a := newHost(t, "ha")
-	known := list(1, true, a.member("SERVING"))
-	reg := newRegistry(t, known)
-	addr, f := door(t)
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), env: []string{"TMPDIR=" + t.TempDir()}}
+	o, reg := inherited(t, a)
 	p := start(t, o, reg.addr)
 	broken := o
 	broken.known = `{"members":[{"id":""}]}`
-	next := launchWith(t, config(t, addr, reg.addr, broken), broken)
+	next := launchWith(t, config(t, o.addr, reg.addr, broken), broken)
 	if err := <-next.done; err == nil {
 		t.Error("the broken one ended well")
 	}
@@ -295,28 +303,32 @@
 	}
 }
 
+// noOffers makes it impossible for the process of a mark to write an offer.
+func noOffers(t testing.TB, mark string) {
+	t.Helper()
+	for i := 1; i <= 2; i++ { // it gives up at the second
+		if err := os.Mkdir(fmt.Sprintf("%s-%d.offer", strings.TrimSuffix(mark, ".alive"), i), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Where connections can't go over, their clients are moved before the older process ends, and none is cut off.
 func TestWhatCanNotBeHandedOverIsMoved(t *testing.T) {
 	t.Parallel()
 	a := newHost(t, "ha")
-	known := list(1, true, a.member("SERVING"))
-	reg := newRegistry(t, known)
-	addr, f := door(t)
-	dir := t.TempDir()
-	o := options{known: known, addr: addr, inherit: f, manage: freeAddr(t), env: []string{"TMPDIR=" + dir}}
+	o, reg := inherited(t, a)
 	p := start(t, o, reg.addr)
 	var on []*client
 	for range 5 {
 		on = append(on, p.open(t, ""))
 		on[len(on)-1].hears("UP")
 	}
-	marks, err := filepath.Glob(dir + "/*.alive")
+	marks, err := filepath.Glob(o.tmp() + "/*.alive")
 	if err != nil || len(marks) != 1 {
 		t.Fatalf("%v, %v", marks, err)
 	}
-	if err := os.Mkdir(strings.TrimSuffix(marks[0], ".alive")+".offer", 0o700); err != nil { // no offer can be written
-		t.Fatal(err)
-	}
+	noOffers(t, marks[0])
 	upgrade(t, o, reg.addr)
 	p.signal(t)
 	for _, k := range on {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -130,7 +129,7 @@
 	boot    string
 	scopes  map[string]held
 	answers map[string]given
-	undo    func()   // takes back what Take has noted last
+	undo    func()   // takes back what Take has noted last; before the next Take
 	order   []string // of answers, the oldest first
 	orders  uint64   // given by hand
 }
@@ -170,10 +169,9 @@
 	}
 	a = Answer{Verdict: Done, Fence: c.Fence, Boot: r.boot}
 	r.undo = func() { // the same command is to be tried again, not to be known
-		if r.scopes[c.Host] = was; !known {
-			delete(r.scopes, c.Host)
-		}
+		r.restore(c.Host, was, known)
 		delete(r.answers, id)
+		r.order = r.order[:len(r.order)-1]
 	}
 	switch {
 	case known && c.Fence < was.fence:
@@ -189,10 +187,7 @@
 		delete(r.answers, r.order[0])
 		r.order = r.order[1:]
 	}
-	r.answers[id] = given{c, a}
-	if !slices.Contains(r.order[max(len(r.order)-1, 0):], id) { // one that was taken back has its place already
-		r.order = append(r.order, id)
-	}
+	r.answers[id], r.order = given{c, a}, append(r.order, id)
 	return a, act, nil
 }
 
@@ -210,11 +205,14 @@
 		return c, nil, fmt.Errorf("words on %d hosts are held, no more can be", mostScopes)
 	}
 	r.scopes[c.Host] = held{c.Operation, was.fence, c.Kind}
-	return c, func() {
-		if r.scopes[c.Host] = was; !known {
-			delete(r.scopes, c.Host)
-		}
-	}, nil
+	return c, func() { r.restore(c.Host, was, known) }, nil
+}
+
+// restore makes a scope what it was.
+func (r *Register) restore(host string, was held, known bool) {
+	if r.scopes[host] = was; !known {
+		delete(r.scopes, host)
+	}
 }
 
 // Holds tells which operation holds for the instance.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -272,3 +272,41 @@
 		t.Errorf("the socket has mode %v, error %v", info.Mode(), err)
 	}
 }
+
+// An order given by hand holds for the moment: it neither refuses nor contradicts whoever orders by numbers. One that
+// the instance does not take in is as if it had not been given, by hand or by number.
+func TestOrdersByHandBesideNumbers(t *testing.T) {
+	f := &fake{}
+	s := NewServer(f, "boot", zap.NewNop())
+	give := func(op string, fence uint64, kind, verdict string) {
+		t.Helper()
+		if a, err := s.Do(Command{Operation: op, Fence: fence, Kind: kind}); err != nil || a.Verdict != verdict {
+			t.Errorf("%s: %+v, %v", op, a, err)
+		}
+	}
+	give("first", 5, Drain, Done)
+	if err := s.Order(Command{Kind: Resume}); err != nil || f.done() != 2 {
+		t.Errorf("by hand: %v, %d done", err, f.done())
+	}
+	give("older", 4, Drain, Refused)
+	give("first", 5, Drain, Done) // known, and not done again
+	give("next", 6, Drain, Done)
+	if f.done() != 3 {
+		t.Errorf("%d were done", f.done())
+	}
+	f.fails = errors.New("held up")
+	if err := s.Order(Command{Kind: Resume}); !errors.Is(err, f.fails) {
+		t.Errorf("by hand: %v", err)
+	}
+	if _, err := s.Do(Command{Operation: "last", Fence: 7, Kind: Resume}); !errors.Is(err, f.fails) {
+		t.Errorf("by number: %v", err)
+	}
+	if op, fence := s.register.Holds(); op != "next" || fence != 6 || len(s.register.order) != len(s.register.answers) {
+		t.Errorf("%s with %d holds, %d places for %d answers", op, fence, len(s.register.order), len(s.register.answers))
+	}
+	f.fails = nil
+	give("last", 7, Resume, Done)
+	if err := s.Order(Command{Kind: "reboot"}); err == nil || f.done() != 4 {
+		t.Errorf("nonsense: %v, %d done", err, f.done())
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -128,9 +128,10 @@
 	return d.used*perClient + d.early.Len() + len(d.pingers) + base
 }
 
-// heard is how many clients may hold one descriptor; mu is held.
+// heard is how many clients may hold one descriptor; mu is held. A few can always be: beside another process of the node
+// this one may be over its part, and who comes is still to be refused politely.
 func (d *Driver) heard() int {
-	return min(max(d.cfg.Sockets/heardPart, leastHeard), d.cfg.Sockets-ownNeed-d.used*perClient)
+	return max(min(max(d.cfg.Sockets/heardPart, leastHeard), d.cfg.Sockets-ownNeed-d.used*perClient), leastHeard)
 }
 
 // take gives an accepted client its goroutine, and closes one that says nothing where there is no room else; false
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -146,6 +146,21 @@
 	waitFor(t, "nothing is open", func() bool { return r.n.Open() == 0 })
 }
 
+// A process that the other one of its node leaves nothing refuses who comes, and serves again when it has its part.
+func TestAProcessWithoutAPartRefuses(t *testing.T) {
+	r := newRig(t, zap.NewNop(), true, answering(t, "UP r\r\n"))
+	r.d.Share(-100)
+	_, in := r.ask(t, "OPEN a key c=chat,d=5000")
+	if line, err := in.ReadString('\n'); !strings.HasPrefix(line, "BUSY") {
+		t.Fatalf("heard %q, error %v", line, err)
+	}
+	r.d.Share(256)
+	_, in = r.ask(t, "OPEN b key c=chat,d=5000")
+	if line, err := in.ReadString('\n'); line != "UP r\r\n" {
+		t.Errorf("heard %q, error %v", line, err)
+	}
+}
+
 // waitFor waits for what must become true.
 func waitFor(t *testing.T, what string, f func() bool) {
 	t.Helper()
--- a/internal/driver/park.go
+++ b/internal/driver/park.go
@@ -118,7 +118,7 @@
 	p.conn.mu.Lock()
 	p.handed = handed
 	p.conn.parking = nil
-	if !handed {
+	if p.conn.over = p.conn.over || handed; !handed { // one that went over is not brought to rest again while it ends here
 		p.conn.unrest++
 	}
 	p.conn.mu.Unlock()
--- a/internal/driver/park_test.go
+++ b/internal/driver/park_test.go
@@ -85,7 +85,14 @@
 		if err := next.d.Adopt(s); err != nil {
 			t.Fatal(err)
 		}
+		old.d.mu.Lock()
+		defer old.d.mu.Unlock()
 		done[0](true)
+		for c := range old.d.conns { // it is still on its way to its end
+			if c.park() != nil {
+				t.Error("a connection that went over is brought to rest again")
+			}
+		}
 		return true
 	})
 	waitFor(t, "the old one has nothing left", func() bool { return old.n.Open() == 0 && old.d.Taken() == 0 })
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -243,10 +243,16 @@
 		t.Errorf("one that is ready: %v, %v", others, err)
 	}
 	_ = f.Close()
+	left := filepath.Join(dir, base("n1")+"-1-3.offer")
+	if err := os.WriteFile(left, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
 	if others, err := a.Others(); len(others) > 0 || err != nil {
 		t.Errorf("one that died: %v, %v", others, err)
 	}
-	if _, err := os.Stat(name); err == nil {
-		t.Error("its mark is left")
+	for _, file := range []string{name, left} {
+		if _, err := os.Stat(file); err == nil {
+			t.Errorf("%s is left", file)
+		}
 	}
 }
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -41,6 +41,7 @@
 type offer struct {
 	Node        string    `json:"node"`
 	PID         int       `json:"pid"`
+	N           uint64    `json:"n"` // of the offers of that process
 	Mark        int       `json:"mark"`
 	Connections []Offered `json:"connections"`
 	Facts       []Fact    `json:"facts"`
@@ -74,47 +75,54 @@
 	return s, raw.Control(func(fd uintptr) { s.FD = int(fd) })
 }
 
-func (s *Store) offerName(pid int) string {
-	return filepath.Join(s.dir, fmt.Sprintf("%s-%d.offer", s.base, pid))
+// offerName is an offer's. No two have the same: who is late with one must not take the next by its name.
+func (s *Store) offerName(pid int, n uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s-%d-%d.offer", s.base, pid, n))
 }
 
 // Give offers connections and returns which of them another process has taken; an error says that none was.
 func (s *Store) Give(all []Offered, facts []Fact) (taken []bool, err error) {
 	taken = make([]bool, len(all))
-	text, err := seal(offerMagic, offer{s.node, os.Getpid(), int(s.own.Fd()), all, facts[:min(len(facts), mostFacts)]})
+	s.offers++
+	text, err := seal(offerMagic, offer{s.node, os.Getpid(), s.offers, int(s.own.Fd()), all, facts[:min(len(facts), mostFacts)]})
 	if err != nil {
 		return taken, err
 	}
-	name := s.offerName(os.Getpid())
+	name := s.offerName(os.Getpid(), s.offers)
 	if err := whole(name, text); err != nil {
 		return taken, err
 	}
 	for by := time.Now().Add(takenWithin); time.Now().Before(by); time.Sleep(offerLook) {
 		if _, err := os.Stat(name); errors.Is(err, fs.ErrNotExist) {
-			return s.outcome(taken)
+			return outcome(name, taken), nil
 		}
 	}
 	if os.Rename(name, name+".back") == nil { // nobody can take it any more
 		_ = os.Remove(name + ".back")
 		return taken, errors.New("no process takes what is offered")
 	}
-	return s.outcome(taken) // it was taken just now
+	return outcome(name, taken), nil // it was taken just now
 }
 
-// outcome reads which connections of a taken offer were taken.
-func (s *Store) outcome(taken []bool) ([]bool, error) {
-	name := s.offerName(os.Getpid()) + ".taken"
-	defer func() { _ = os.Remove(name) }()
-	text, err := os.ReadFile(name)
+// outcome reads which connections of a taken offer were taken. Where that can't be read, as for want of a descriptor, all
+// count as taken: two processes on one connection would tear its lines apart, one less is a client that comes again.
+func outcome(name string, taken []bool) []bool {
+	defer func() { _ = os.Remove(name + ".taken") }()
+	text, err := readBounded(name + ".taken")
+	for by := time.Now().Add(takenWithin); err != nil && time.Now().Before(by); time.Sleep(offerLook) {
+		text, err = readBounded(name + ".taken")
+	}
 	if err != nil {
-		return taken, err
+		for i := range taken {
+			taken[i] = true
+		}
 	}
 	for _, word := range strings.Fields(string(text)) {
 		if i, err := strconv.Atoi(word); err == nil && i >= 0 && i < len(taken) {
 			taken[i] = true
 		}
 	}
-	return taken, nil
+	return taken
 }
 
 // Taken is a connection that was taken from another process.
@@ -128,7 +136,7 @@
 func (s *Store) Take() (out []Taken, facts []Fact, err error) {
 	names, err := filepath.Glob(filepath.Join(s.dir, s.base+"-*.offer"))
 	for _, name := range names {
-		if name == s.offerName(os.Getpid()) {
+		if strings.HasPrefix(filepath.Base(name), fmt.Sprintf("%s-%d-", s.base, os.Getpid())) {
 			continue
 		}
 		got, known, failed := s.take(name)
@@ -141,7 +149,7 @@
 }
 
 func (s *Store) take(name string) (out []Taken, facts []Fact, err error) {
-	text, err := os.ReadFile(name)
+	text, err := readBounded(name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, nil // taken back
 	}
@@ -149,7 +157,7 @@
 	if err == nil {
 		err = unseal(offerMagic, text, &o)
 	}
-	if err != nil || o.Node != s.node || name != s.offerName(o.PID) || o.PID == os.Getpid() || len(o.Connections) > MostOffered || len(o.Facts) > mostFacts {
+	if err != nil || o.Node != s.node || name != s.offerName(o.PID, o.N) || o.PID == os.Getpid() || len(o.Connections) > MostOffered || len(o.Facts) > mostFacts {
 		return nil, nil, errors.Join(err, fmt.Errorf("%s is no offer", name))
 	}
 	from, err := s.from(o)
--- a/internal/handover/offer_test.go
+++ b/internal/handover/offer_test.go
@@ -20,11 +20,44 @@
 	if names, _ := filepath.Glob(filepath.Join(dir, "*.offer*")); len(names) > 0 {
 		t.Errorf("left are %v", names)
 	}
+	// Who read this offer and is late must not take the next one with what stood in the first.
+	first := s.offerName(os.Getpid(), s.offers)
+	next := make(chan error, 1)
+	go func() {
+		_, err := s.Give([]Offered{{Line: "OPEN c d"}}, nil)
+		next <- err
+	}()
+	for over := false; !over; {
+		if os.Rename(first, first+".gone") == nil {
+			t.Fatal("the next offer is taken by the name of the first")
+		}
+		select {
+		case err := <-next:
+			if over = true; err == nil {
+				t.Error("the next offer counts as taken")
+			}
+		default:
+		}
+	}
 	if out, _, err := s.Take(); len(out) > 0 || err != nil {
 		t.Errorf("its own: %v, %v", out, err)
 	}
 }
 
+// An offer that is gone was taken: of which connections, tells a note; without it none may go on in both processes.
+func TestTheNoteOfATakenOffer(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "o")
+	if err := os.WriteFile(name+".taken", []byte("1 7 x "), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := outcome(name, make([]bool, 3)); got[0] || !got[1] || got[2] {
+		t.Errorf("taken are %v", got)
+	}
+	if got := outcome(name, make([]bool, 2)); !got[0] || !got[1] {
+		t.Errorf("without a note: %v", got)
+	}
+}
+
 // An offer is believed of a process alone that holds the mark of the node, and its numbers only where they are connected
 // with whom it says.
 func TestOffersThatAreNotBelieved(t *testing.T) {
@@ -36,7 +69,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(s.offerName(o.PID), text, 0o600); err != nil {
+		if err := os.WriteFile(s.offerName(o.PID, o.N), text, 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -59,7 +92,7 @@
 	refused("of a process that is not there", "process")
 	put(offer{Node: "n1", PID: os.Getppid(), Mark: 0})
 	refused("of a process without the mark", "process")
-	if err := os.WriteFile(s.offerName(7), []byte("onyxstream-offer-1 0 2\n{}"), 0o600); err != nil {
+	if err := os.WriteFile(s.offerName(7, 0), []byte("onyxstream-offer-1 0 2\n{}"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	refused("damaged", "damaged")
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -25,6 +25,8 @@
 	last Document // as it was read or written last
 	seen os.FileInfo
 	own  *os.File // this process's mark, locked for as long as it lives
+
+	offers uint64 // made so far; Give's own
 }
 
 const (
@@ -105,15 +107,7 @@
 		return s.last, false, nil
 	}
 	s.seen = info
-	f, err := os.Open(s.path())
-	if err != nil {
-		return s.last, false, err
-	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
-	if err == nil && len(text) > mostBytes {
-		err = errors.New("it is too large")
-	}
+	text, err := readBounded(s.path())
 	if err == nil {
 		d, err = Decode(text, s.node)
 	}
@@ -152,6 +146,20 @@
 	return nil
 }
 
+// readBounded reads a file of at most mostBytes.
+func readBounded(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
+	if err == nil && len(text) > mostBytes {
+		err = errors.New("it is too large")
+	}
+	return text, err
+}
+
 // whole writes a file that is whole or not there, for other processes and for a kill at any point. It need not outlive
 // the machine, so nothing waits for a disk.
 func whole(name string, text []byte) error {
@@ -200,7 +208,7 @@
 			continue // it has just gone
 		}
 		if syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == nil {
-			_ = os.Remove(name)
+			s.clear(name)
 		} else {
 			var buf [32]byte
 			n, _ := f.ReadAt(buf[:], 0)
@@ -211,6 +219,14 @@
 	return out, nil
 }
 
+// clear takes away what a process that died has left: its mark, and offers that nobody took.
+func (s *Store) clear(mark string) {
+	left, _ := filepath.Glob(strings.TrimSuffix(mark, ".alive") + "-*.offer*")
+	for _, name := range append(left, mark) {
+		_ = os.Remove(name)
+	}
+}
+
 // parseMark reads a mark; one that was not written yet, or that can't be read, is that of a process that is there.
 func parseMark(text string) (m Mark) {
 	ready, number, _ := strings.Cut(strings.TrimSpace(text), " ")
