Cold budget by what fills a host over its warm-up, of the fleet at its largest

Counted in the taps: all nodes had been told of the restart, so the budget let them. To blame: affords took half of the quotas as set-ups a second, which is no rate, and divided by the weight still listed: a fleet shrunk to a third passed for one of which each host bears three times as much. Change: the part of the quotas that a host has of the fleet at its largest, spread over the time to warm up. The test fails with 50 connections where 14 would do.

--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -163,21 +163,24 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. Capacity is judged by what this node places for the weight, or by
-// its part of what the tenants' quotas let the fleet hold, half of it: groups and heavy classes take the
-// rest. A share of less than one connection in a window is one in some windows, by chance: saved up, the
-// shares of many nodes would come down together.
+// capacity, covers one more connection. A cold server takes new connections no faster than fills it while it
+// warms up; what fills it are its part of the tenants' quotas, as the fleet stood at its largest: quotas don't
+// shrink with it. Without quotas it is what this node places for the weight. A share of less than one
+// connection in a window is one in some windows, by chance: saved up, the shares of many nodes would come
+// down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
 		return true
 	}
-	rate := b.set.FallMultiple * share * max(b.rate, b.quota/2) * s.weight / max(b.weight, s.weight)
 	if b.quota <= 0 { // what this node places is less than servers bear, and saved up where little comes to it
+		rate := b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
 		s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
 		s.refill = b.now
 	} else if b.now >= s.refill+b.set.FallWindow {
-		s.tokens, s.refill = math.Floor(rate*b.set.FallWindow.Seconds()+b.rng.Float64()), b.now
+		part := b.quota * s.weight / max(b.most, s.weight)
+		n := b.set.FallMultiple * part * b.set.FallWindow.Seconds() / b.set.WarmWithin.Seconds()
+		s.tokens, s.refill = math.Floor(n+b.rng.Float64()), b.now
 	}
 	return s.tokens >= 1
 }
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -503,3 +503,35 @@
 		t.Errorf("a cold server without a rule got %v", sent)
 	}
 }
+
+// The quotas are of the fleet at its largest. Sixteen nodes of one that has shrunk from ten hosts to three took a host that
+// came back cold for good for a third of them, and sent it five times what it could bear.
+func TestAShrunkFleetKeepsAColdServersBudget(t *testing.T) {
+	const nodes, quota = 16, 417.0
+	set, sent, part := testSettings(), 0, 0.0
+	set.WarmWithin, set.FallWindow = 20*time.Second, 2*time.Second
+	for i := range nodes {
+		s := set
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, []Tenant{{Connections: quota}}
+		n := started(t, s, 10)
+		part = quota * fleetOf(1)[0].Weight / n.weight
+		rows := fleetOf(10)
+		for j := range rows[3:] {
+			rows[3+j].State = Gone
+		}
+		rows[0].Since = time.Minute
+		n.Handle(time.Minute, ListEvent{Kind: ListChange, Version: 2, Servers: rows})
+		for c := range 60 {
+			id := RequestID(fmt.Sprint(c))
+			for _, to := range sends(n.Handle(time.Minute+time.Duration(c)*ms, Arrival{ID: id, Key: fmt.Sprint(i, id), Left: time.Second})) {
+				if to.Server == rows[0].ID {
+					sent++
+				}
+			}
+		}
+	}
+	// Each node rounds its share by chance: four standard deviations of sixteen such chances.
+	if most := set.FallMultiple*part*set.FallWindow.Seconds()/set.WarmWithin.Seconds() + 8; float64(sent) > most || sent < 4 {
+		t.Errorf("%d connections to a cold server in one window, 4 to %.1f would do", sent, most)
+	}
+}
