Late messages cut a host's load sooner and by less; nothing is given up for evenness

To blame: slow waited for half of the shortest aim, by when an ageing host serves nothing a second later, then took 15% at a time. Change: from three eighths of the aim on, to 0.92 of what the slope tells.

--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -11,9 +11,8 @@
 
 const (
 	ejectable  = 0.5  // the share of the fleet that suspicion may shut out: more is no server's fault
-	headroom   = 0.85 // the part of what a server can do that a cut aims at
+	headroom   = 0.92 // the part of what a server can do that a cut aims at
 	room       = 0.75 // the load that a report may show for one more: it is late, and other nodes send meanwhile
-	fair       = 1.2  // the multiple of its part of the load that a server near lateness may keep
 	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
 	recovery   = 16   // longest deadlines in which a limit grows back: clients' own measure of long
 	fewCalls   = 25   // so many calls at once the list works through well before they are given up
@@ -163,11 +162,10 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. A cold server takes new connections no faster than fills it while it
-// warms up; what fills it are its part of the tenants' quotas, as the fleet stood at its largest: quotas don't
-// shrink with it. Without quotas it is what this node places for the weight. A share of less than one
-// connection in a window is one in some windows, by chance: saved up, the shares of many nodes would come
-// down together.
+// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up; full
+// it has its part of the tenants' quotas, which are of the fleet at its largest. Without quotas it is what this
+// node places for the weight. A share of less than one connection in a window is one in some windows, by
+// chance: saved up, the shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
@@ -199,8 +197,8 @@
 
 // slow takes in how long messages take at a server, told each second while that is near the shortest aim. The
 // time grows by what is asked beyond what the server can do and falls by what is spare, so its slope tells
-// how far to cut: while a backlog drains fast enough, not at all. A server that stays near lateness gives up
-// what is over its part of the load: others that came back empty would stay so, as connections last.
+// how far to cut: while a backlog drains fast enough, not at all. A little at a time, but soon: of hosts that
+// grow slower for half a minute each node learns alone, and what is cut late is lost.
 func (b *Brain) slow(r *request, message time.Duration) {
 	if r == nil || r.conn == nil {
 		return
@@ -212,11 +210,8 @@
 	}
 	s.message, s.messageAt = message, b.now
 	keep := headroom / max(headroom/2, 1+float64(message-was)/float64(span))
-	even := fair * b.load * b.carries(s) / max(b.usable, b.carries(s))
-	if b.aim > 0 && message > b.aim/2 && keep < 1 {
+	if message > 3*b.aim/8 && keep < 1 && b.aim > 0 {
 		b.cut(s, keep)
-	} else if b.aim > 0 && min(was, message) > 3*b.aim/8 && b.bears(s) > even {
-		b.cut(s, even/b.bears(s))
 	}
 }
 
