Clients are kept in their zone where a crossing is dear

To blame: place, which took the first entry whatever its zone. The table stays as it is and alike at all; where prices.crossZone is at least 0.05 the walk from an entry begins at the first of the node's own zone. As many groups stay as the zone's weight bears if clients come to all zones alike, the hash says which; what is skipped there crosses as before. A group has one place in each zone there. New setting: CrossPrice from prices.crossZone, 0 by default.

--- a/brain/api.go
+++ b/brain/api.go
@@ -67,6 +67,8 @@
 	FallMultiple float64       // work over present capacity that breaks it
 	FallWindow   time.Duration // when it lasts this long
 	AskWithin    time.Duration // longest time between questions to the list
+	CrossPrice   float64       // cost of a request that crosses zones, as a part of one's worth; 0 for none
+	Zones        int           // how many zones there are; 0 where unknown
 }
 
 // Tenant is a customer with a share of the service.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,6 +24,7 @@
 	againPlaces = 3 // the least number among which one who comes again finds another than its first
 	// A server is skipped, as in the design, over skipFactor times the mean and from skipFloor connections on.
 	skipFactor, skipFloor = 1.5, 2
+	dearCrossing          = 0.05 // crossings that cost this part of a request's worth are to be saved
 
 	mostAsks   = 4    // servers that a request asks for a report: each takes a trip there and back
 	noteSmooth = 0.05 // the part of one load note that moves the means: some twenty notes set them
@@ -337,8 +338,13 @@
 // and small ones are not paid for on all; fewer while much of the listed weight is gone, as the rest can't
 // bear the price.
 func (b *Brain) places(group string) int {
-	all := float64(len(b.table.holders))
-	if b.blind() {
+	all, kept := float64(len(b.table.holders)), b.set.CrossPrice >= dearCrossing
+	if kept { // it has places in each zone
+		all *= b.own / max(b.weight, b.own)
+	}
+	if b.blind() && kept {
+		return 1
+	} else if b.blind() {
 		return max(1, int(math.Round(blindPlaces*b.weight/b.most)))
 	}
 	return 1 + int(float64(b.groups[group])/float64(b.open+1)*all/skipFactor)
@@ -362,22 +368,24 @@
 	b.walks++
 	var best *server
 	var rank, value float64
+	local, met := b.stays(at), false
 	near, size := groupReach, len(b.table.first)
 	for i, left := 0, len(b.table.holders); i < size+places && left > 0; i++ {
 		at := b.entry(at, own, places, i)
+		for _, s := range b.table.hops(at) { // it stands where the table put it, however loaded that server is
+			if r.MidFlow && !met && s != nil && (!local || s.zone == b.set.Zone) {
+				if b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+					return s
+				}
+			}
+		}
 		s := b.table.first[at]
 		if s == nil || s.visited == b.walks {
 			continue
 		}
-		home := left == len(b.table.holders)
+		home := !met && (!local || s.zone == b.set.Zone)
+		met = met || home
 		s.visited, left = b.walks, left-1
-		if home && r.MidFlow { // it stands where the table put it, however loaded that server is
-			for _, s := range b.table.hops(at) {
-				if s != nil && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
-					return s
-				}
-			}
-		}
 		if !b.allowed(r, s) || !b.affords(s) {
 			continue
 		}
@@ -414,6 +422,13 @@
 	return best
 }
 
+// stays reports whether clients of an entry are kept in this node's zone, where crossings are dear: all, or
+// as many as its servers bear of their part if the clients come to all zones alike; the hash says which.
+func (b *Brain) stays(at uint64) bool {
+	part := b.own * float64(b.set.Zones) / max(b.weight, 1e-9)
+	return b.set.CrossPrice >= dearCrossing && float64(mix(at, uint64(b.set.Zone)+1)) < part*math.MaxUint64
+}
+
 // allowed reports whether another attempt may go to s: repeats are proved safe, no server is tried twice.
 func (b *Brain) allowed(r *request, s *server) bool {
 	c := &b.set.Classes[r.Class]
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -107,12 +107,14 @@
 // weigh sums the fleet: loads and usable weight, and whether suspicion may still shut servers out.
 func (b *Brain) weigh() {
 	shut, known, crowded := 0.0, 0.0, 0.0
-	b.load, b.usable, b.weight = 0, 0, 0
+	b.load, b.usable, b.weight, b.own = 0, 0, 0, 0
 	for _, s := range b.table.holders {
 		if s.state == draining {
 			continue
 		}
-		b.weight += s.weight
+		if b.weight += s.weight; s.zone == b.set.Zone {
+			b.own += s.weight
+		}
 		switch {
 		case b.limited(s) || b.reported(s) && s.excess > room*headroom:
 			crowded += s.weight
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,9 @@
 		Name string `json:"name"`
 	} `json:"customers"`
 	Zones  []string `json:"zones"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+	} `json:"prices"`
 	Domain struct {
 		Groups     bool      `json:"groups"`
 		TellsDelay bool      `json:"tellsDelay"`
@@ -126,6 +129,7 @@
 		DrainGrace: f.Rules.StopSendingWithin.duration(), ColdShare: f.Rules.ColdShare,
 		WarmWithin: f.Rules.WarmWithin.duration(), FallMultiple: f.Rules.FallMultiple,
 		FallWindow: f.Rules.OverloadFor.duration(), AskWithin: f.Rules.AskWithin.duration(),
+		CrossPrice: f.Prices.CrossZone, Zones: len(f.Zones),
 	}
 	s.Reports = s.MayProbe && f.Report.How == "on_probe" && slices.Contains(f.Report.Fields, "x0")
 	if f.Limits.RetryAfter {
@@ -143,7 +147,7 @@
 		{"rules.askWithin", float64(f.Rules.AskWithin), 0}, {"rules.coldShare", f.Rules.ColdShare, 0},
 		{"rules.fallMultiple", f.Rules.FallMultiple, 0}, {"rules.overloadFor", float64(f.Rules.OverloadFor), 0},
 		{"rules.stopSendingWithin", float64(f.Rules.StopSendingWithin), 0},
-		{"rules.warmWithin", float64(f.Rules.WarmWithin), 0},
+		{"rules.warmWithin", float64(f.Rules.WarmWithin), 0}, {"prices.crossZone", f.Prices.CrossZone, 0},
 	} {
 		if bound.v < bound.least || bound.v > 1e12 {
 			return s, at(bound.name, fmt.Errorf("%g is out of range", bound.v))
