A node that sees little: groups reach two hosts, a third crowded is short, set-ups tell crowds

To blame: the reach of four hosts past a group's place, and half of the known hosts crowded, were set for nodes with dozens of connections a host. A node here knows few hosts, and late; each further host is paid for and learnt anew. And the walk counted hosts of the other zone. Change: for nodes that see little two hosts, a third; the count begins at the place. A set-up over the shortest aim and three times the usual counts as a message that late.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,8 @@
 	// A server that operators called back is used after so long for want of another occasion.
 	backWithin = 2 * time.Second
 
-	groupReach  = 4 // how many servers past its place a connection of a group may newly go to in a short fleet
+	groupReach  = 4 // how many servers from its place on a connection of a group may newly go to in a short fleet
+	blindReach  = 2 // the same where a node sees too little to know its groups
 	blindPlaces = 4 // places of a group where a node sees too little to tell large groups from small ones
 	againPlaces = 3 // the least number among which one who comes again finds another than its first
 	// A server is skipped, as in the design, over skipFactor times the mean and from skipFloor connections on.
@@ -370,6 +371,9 @@
 	var rank, value float64
 	local, met := b.stays(at), false
 	near, size := groupReach, len(b.table.first)
+	if b.blind() {
+		near = blindReach
+	}
 	for i, left := 0, len(b.table.holders); i < size+places && left > 0; i++ {
 		at := b.entry(at, own, places, i)
 		for _, s := range b.table.hops(at) { // it stands where the table put it, however loaded that server is
@@ -394,7 +398,7 @@
 			load += b.group
 		}
 		shunned := b.shunned(s) && !b.trusting
-		if !shunned {
+		if met && !shunned {
 			near--
 		}
 		if near < 0 && !held && b.short && r.Group != "" { // a group that scatters is paid for on every server
@@ -485,6 +489,9 @@
 		r.conn = a.to
 		b.placed, b.total = b.placed+1, b.total+1
 		b.shared(r, a, e.Took, false)
+		if b.aim > 0 && e.Took > b.aim && e.Took > 3*b.setup { // it waited as messages will
+			b.slow(r, e.Took)
+		}
 		b.well(r.conn)
 	}
 }
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	ejectable  = 0.5  // the share of the fleet that suspicion may shut out: more is no server's fault
-	headroom   = 0.92 // the part of what a server can do that a cut aims at
-	room       = 0.75 // the load that a report may show for one more: it is late, and other nodes send meanwhile
-	reserve    = 0.15 // the part of a limit that is kept for requests of most worth for their load
-	recovery   = 16   // longest deadlines in which a limit grows back: clients' own measure of long
-	fewCalls   = 25   // so many calls at once the list works through well before they are given up
-	rateSmooth = 0.1  // the part of one second's count that moves the known rate of connections
+	ejectable  = 0.5    // the share of the fleet that suspicion may shut out: more is no server's fault
+	blindShort = 1. / 3 // the share of known servers that tells a node which sees little of a short fleet
+	headroom   = 0.92   // the part of what a server can do that a cut aims at
+	room       = 0.75   // the load that a report may show for one more: it is late, and other nodes send meanwhile
+	reserve    = 0.15   // the part of a limit that is kept for requests of most worth for their load
+	recovery   = 16     // longest deadlines in which a limit grows back: clients' own measure of long
+	fewCalls   = 25     // so many calls at once the list works through well before they are given up
+	rateSmooth = 0.1    // the part of one second's count that moves the known rate of connections
 )
 
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that every
@@ -131,6 +132,9 @@
 	}
 	b.most = max(b.most, b.weight)
 	b.trusting, b.short = shut > ejectable*b.weight, crowded > ejectable*known
+	if b.blind() { // it knows few, and late
+		b.short = crowded > blindShort*known
+	}
 }
 
 // bears is the load that a server has of this node, the groups it holds counted in.
