The first list after an empty one is laid evenly over its hosts

Seen on loopback: a node that starts without a list and is told it unasked sent 16 of 16 clients to the first of two hosts, for good. To blame: listed took a table that had been built empty for one that holds history and filled it host by host: the first took every entry, the second found no active host to take any from. Change: with no holder the table is built anew. The test fails without it.

--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -50,6 +50,7 @@
 		}
 	}
 	var initial []*server
+	fresh := len(b.table.holders) == 0 // filled one by one, the first would take all
 	for _, row := range rows {
 		if row.State != Live {
 			continue
@@ -72,11 +73,11 @@
 		if e.Kind == ListAside && s.backAt == 0 {
 			s.backAt, b.backs = b.now, append(b.backs, s)
 		}
-		if initial = append(initial, s); len(b.table.first) > 0 {
+		if initial = append(initial, s); !fresh {
 			b.table.fill(s, b.now)
 		}
 	}
-	if len(b.table.first) == 0 {
+	if fresh {
 		b.table.build(initial)
 	}
 }
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -504,6 +504,18 @@
 	}
 }
 
+// A node that starts without a list, and is told it unasked, gave all entries to the first host of it.
+func TestTheFirstListAfterAnEmptyOneIsLaidEvenly(t *testing.T) {
+	b := started(t, testSettings(), 0)
+	b.Handle(time.Second, ListEvent{Kind: ListFull, Version: 2, Servers: fleetOf(4)})
+	same := started(t, testSettings(), 4)
+	for i, s := range b.table.first {
+		if s == nil || s.id != same.table.first[i].id {
+			t.Fatalf("entry %d is not as at a node that began with the list", i)
+		}
+	}
+}
+
 // Where crossings are dear, clients stand in the zone of their node as far as its servers bear their part, whole
 // groups together and alike at all nodes of the zone; mid-flow packets find them, also while the server drains.
 func TestDearCrossingsKeepClientsInTheirZone(t *testing.T) {
