Tests of a list that comes unasked, and of settings that older files lack

On loopback against the stand-in of discovery: first list unasked, a drain kept within 50 ms, clients served while discovery is silent for longer than a beat, what was missed taken up by a call of the node's own.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -31,6 +31,12 @@
 
 // newRig starts a driver; the node's loop runs only where loop is set.
 func newRig(t *testing.T, log *zap.Logger, loop bool, hosts ...string) *rig {
+	t.Helper()
+	return newRigOf(t, log, loop, refusing(t), func(*settings.Settings) {}, hosts...)
+}
+
+// newRigOf is newRig with a discovery, and with settings as change leaves them.
+func newRigOf(t *testing.T, log *zap.Logger, loop bool, discovery string, change func(*settings.Settings), hosts ...string) *rig {
 	t.Helper()
 	d, y := New(Config{Sockets: 256, ConnectTimeout: time.Second, AnswerSlack: 10 * time.Millisecond, Patience: time.Second,
 		Classes: []string{"chat"}}, log),
@@ -38,11 +44,12 @@
 	set := settings.Settings{Settings: brain.Settings{GroupSize: 1, MaxAttempts: 3, MayCancel: true, AskList: true,
 		AskWithin: time.Hour, DrainGrace: time.Second, Classes: []brain.Class{{SetupAim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1}}},
 		ClassNames: []string{"chat"}}
+	change(&set)
 	known := wire.Catalog{Complete: true}
 	for i, addr := range hosts {
 		known.Members = append(known.Members, wire.Member{ID: fmt.Sprint("h", i), Addr: addr, Size: 1})
 	}
-	n := node.New(set, known, refusing(t), struct {
+	n := node.New(set, known, discovery, struct {
 		*Discovery
 		*Driver
 	}{y, d}, log)
--- /dev/null
+++ b/internal/driver/push_test.go
@@ -0,0 +1,79 @@
+package driver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/settings"
+	"onyxstream/internal/stand"
+	"onyxstream/internal/wire"
+)
+
+// A list that comes unasked: the node follows it by itself, goes on with what it has while discovery says nothing, takes
+// up what it missed, and keeps a drain told that way, within 50 ms.
+func TestAListThatComesUnasked(t *testing.T) {
+	const grace = 50 * time.Millisecond
+	var asked [2]atomic.Int64
+	var members [2]wire.Member
+	for i := range members {
+		addr := host(t, func(c *net.TCPConn) {
+			if line, err := bufio.NewReader(c).ReadString('\n'); err == nil && line[0] == 'O' {
+				asked[i].Add(1)
+				_, _ = io.WriteString(c, "UP r\r\nBYE\r\n")
+			}
+		})
+		members[i] = wire.Member{ID: fmt.Sprint("h", i), Addr: addr, Size: 1}
+	}
+	clock := stand.NewClock()
+	d, err := stand.NewDiscovery("", clock, stand.NewLedger(clock), 7, members[:]...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	r := newRigOf(t, zap.NewNop(), true, d.Addr(), func(s *settings.Settings) { s.AskList, s.DrainGrace = false, grace })
+	opened := 0
+	// round opens some connections and tells how many each host was asked for.
+	round := func() (at [2]int64) {
+		before := [2]int64{asked[0].Load(), asked[1].Load()}
+		for range 16 {
+			opened++
+			c, in := r.ask(t, fmt.Sprintf("OPEN r%d key%d c=chat,d=5000", opened, opened))
+			_, _ = in.ReadString('\n')
+			_ = c.Close()
+		}
+		return [2]int64{asked[0].Load() - before[0], asked[1].Load() - before[1]}
+	}
+	only := func(what string, one int) {
+		t.Helper()
+		waitFor(t, what, func() bool { at := round(); return at[one] == 16 && at[1-one] == 0 })
+		time.Sleep(grace)
+		if at := round(); at[1-one] != 0 || at[one] != 16 {
+			t.Errorf("%s: asked %v of 16", what, at)
+		}
+	}
+	waitFor(t, "the first list comes unasked", func() bool { at := round(); return at[0] > 0 && at[1] > 0 })
+	members[0].Phase = wire.Draining
+	d.Set(members[0])
+	only("the first host drains", 1)
+
+	d.Answer(stand.Mute)
+	members[0].Phase, members[1].Phase = wire.Serving, wire.Draining
+	d.Set(members[0])
+	d.Set(members[1])
+	if at := round(); at[1] != 16 {
+		t.Errorf("while discovery is silent: asked %v of 16", at)
+	}
+	calls := len(d.Calls())
+	d.Answer(stand.Well)
+	only("what was missed is taken up", 0)
+	if len(d.Calls()) <= calls {
+		t.Error("no new call was made to a discovery that had gone silent")
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"onyxstream/brain"
 )
 
@@ -45,6 +47,22 @@
 	}
 }
 
+// Where the list comes unasked and crossings have a price, both are read; a file that names neither means what it meant.
+func TestWhatAnotherShapeNeeds(t *testing.T) {
+	old, err := Parse(7, []byte(whole))
+	if err != nil || old.CrossPrice != 0 || old.Zones != 3 {
+		t.Fatalf("an older file: price %g, %d zones, error %v", old.CrossPrice, old.Zones, err)
+	}
+	s, err := Parse(7, []byte(strings.Replace(whole, `"registryMode":"ask"`, `"registryMode":"push","prices":{"crossZone":0.1}`, 1)))
+	if err != nil || s.AskList || s.CrossPrice != 0.1 {
+		t.Errorf("asks %v, price %g, error %v", s.AskList, s.CrossPrice, err)
+	}
+	s.AskList, s.CrossPrice = true, 0
+	if diff := cmp.Diff(old, s); diff != "" {
+		t.Error("other settings changed with them:", diff)
+	}
+}
+
 func TestAdviceIsNotGivenWhereItIsNotAllowed(t *testing.T) {
 	s, err := Parse(1, []byte(strings.Replace(whole, `"retryAfter":true`, `"retryAfter":false`, 1)))
 	if err != nil || s.MaxRetryAfter != 0 {
@@ -61,6 +79,7 @@
 		{`"groupSize":3`, `"groupSize":-3`, "groupSize"},
 		{`"group":"zone"`, `"group":"town"`, "lanes[0].group"},
 		{`"deadline":1800.5`, `"deadline":-1`, "lanes[0].aim"},
+		{`"unheardOf":{"x":[1]}`, `"prices":{"crossZone":-0.1}`, "prices.crossZone"},
 		{`{"index"`, `["index"`, ""},
 	} {
 		text := strings.Replace(whole, c.from, c.to, 1)
