onyxstream config migrate: a node's configuration for another shape of deployment

The new text is read back by the node's own check first. Older files mean what they meant: prices.crossZone is 0 without it. internal/migrate is pure; internal/cli/config.go does the files.

--- /dev/null
+++ b/internal/cli/config_test.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const oldConfig = `{"name":"n3","listen":"127.0.0.1:8081","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":64,"sockets":256},
+"known":{"revision":41,"complete":true,"members":[]},
+"settings":{"index":1,"groupSize":3,"zone":0,"zones":["hall-cathays","hall-bute","hall-llandaff"],"registryMode":"ask",
+"lanes":[{"name":"feed","aim":300,"deadline":1800,"worth":1}]}}`
+
+// called runs the command line.
+func called(args ...string) (status int, out, errs string) {
+	var o, e bytes.Buffer
+	status = Main(args, &o, &e)
+	return status, o.String(), e.String()
+}
+
+func TestConfigMigrateWritesWholeOrNothing(t *testing.T) {
+	dir := t.TempDir()
+	old, made := filepath.Join(dir, "old.json"), filepath.Join(dir, "new.json")
+	shape := filepath.Join("..", "..", "examples", "shape.toml")
+	if err := os.WriteFile(old, []byte(oldConfig), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	migrate := func(args ...string) (int, string, string) {
+		return called(append([]string{"config", "migrate", old, "--to", shape}, args...)...)
+	}
+	there := func() bool {
+		_, err := os.Stat(made)
+		return err == nil
+	}
+	status, dry, errs := migrate("--dry-run", "-o", made)
+	if status != ExitOK || there() || !strings.Contains(dry, "settings.registryMode") {
+		t.Fatalf("dry run: status %d, written %v, %s%s", status, there(), dry, errs)
+	}
+	status, out, errs := migrate("-o", made)
+	if status != ExitOK || out+"nothing was written\n" != dry {
+		t.Fatalf("status %d, the report differs from that of the dry run:\n%s%s", status, out, errs)
+	}
+	first, err := os.ReadFile(made)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(made); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("rights %v, error %v", info.Mode(), err)
+	}
+	if status, _, errs := migrate("-o", made); status != ExitUsage || !strings.Contains(errs, "--force") {
+		t.Errorf("over an existing file: status %d, %s", status, errs)
+	}
+	status, out, _ = migrate("-o", made, "--force", "--json")
+	var report struct {
+		Written bool
+		Fields  []struct{ Field, What string }
+	}
+	if err := json.Unmarshal([]byte(out), &report); status != ExitOK || err != nil || !report.Written || len(report.Fields) < 20 {
+		t.Errorf("status %d, error %v, report %+v", status, err, report)
+	}
+	if again, err := os.ReadFile(made); err != nil || !bytes.Equal(again, first) {
+		t.Errorf("other bytes the second time, error %v", err)
+	}
+	if status, _, _ := migrate("-o", old, "--force"); status != ExitUsage {
+		t.Errorf("onto the old file: status %d", status)
+	}
+	if text, _ := os.ReadFile(old); string(text) != oldConfig {
+		t.Error("the old file was changed")
+	}
+}
+
+func TestConfigMigrateRefusesInOneLine(t *testing.T) {
+	for _, c := range []struct{ name, old, shape, want string }{
+		{"cut short", oldConfig[:200], "", "old.json:4"},
+		{"a type", strings.Replace(oldConfig, `"sockets":256`, `"sockets":"many"`, 1), "", "limits.sockets"},
+		{"a seed that is none", strings.Replace(oldConfig, `"seed":"8c1f30d27a5be964"`, `"seed":"x"`, 1), "", "seed"},
+		{"a key of the shape", oldConfig, "list = \"push\"\nlocations = 2\n", "shape.toml:2: locations"},
+		{"out of range", oldConfig, "list = \"push\"\n[[location]]\nname = \"x\"\nfrom = [\"hall-cathays\", \"hall-bute\", \"hall-llandaff\"]\n" +
+			"[rules]\ncold_share = 2\n", "rules.coldShare"},
+		{"unreadable", "", "", "no such file"},
+	} {
+		dir := t.TempDir()
+		old, made, shape := filepath.Join(dir, "old.json"), filepath.Join(dir, "new.json"), filepath.Join("..", "..", "examples", "shape.toml")
+		if c.old != "" {
+			if err := os.WriteFile(old, []byte(c.old), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if c.shape != "" {
+			shape = filepath.Join(dir, "shape.toml")
+			if err := os.WriteFile(shape, []byte(c.shape), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		status, _, errs := called("config", "migrate", old, "--to", shape, "-o", made)
+		_, err := os.Stat(made)
+		if status != ExitUsage || !strings.Contains(errs, c.want) || strings.Count(errs, "\n") != 1 || err == nil {
+			t.Errorf("%s: status %d, written %v, %q; want %q", c.name, status, err == nil, errs, c.want)
+		}
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -13,6 +13,7 @@
 	"onyxstream/internal/conf"
 	"onyxstream/internal/lifecycle"
 	"onyxstream/internal/load"
+	"onyxstream/internal/migrate"
 )
 
 // The exit statuses.
@@ -64,10 +65,11 @@
 	var s *status
 	var file *conf.Error
 	var trace *load.TraceError
+	var old *migrate.Error
 	switch {
 	case errors.As(err, &s):
 		return s.code
-	case errors.As(err, &file), errors.As(err, &trace):
+	case errors.As(err, &file), errors.As(err, &trace), errors.As(err, &old):
 		return ExitUsage
 	}
 	return ExitFailed
@@ -93,7 +95,7 @@
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(node(), loadCommand(), agentCommand(), instancesCommand(), hostsCommand(), operationsCommand(), keysCommand())
+	root.AddCommand(node(), loadCommand(), agentCommand(), instancesCommand(), hostsCommand(), operationsCommand(), keysCommand(), configCommand())
 	wrapArgs(root)
 	return root
 }
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -74,6 +74,14 @@
 	return old, left, nil
 }
 
+// Check reports what a node would find wrong with a configuration. Addresses and the name may be missing: a node takes
+// them from its variables.
+func Check(text []byte) error {
+	const some = "127.0.0.1:1"
+	_, err := parse(text, file{Name: "some", Listen: some, Discovery: some})
+	return err
+}
+
 // load reads the file; f holds what counts where it says nothing.
 func load(f file) (Config, error) {
 	path := os.Getenv("PROXY_CONFIG")
--- /dev/null
+++ b/internal/migrate/migrate_test.go
@@ -0,0 +1,143 @@
+package migrate
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"onyxstream/internal/conf"
+	"onyxstream/internal/settings"
+)
+
+const old = `{"name":"n3","seed":"8c1f","big":12345678901234567890.10,
+ "known":{"revision":41,"complete":true,"members":[
+  {"id":"h1","locality":"a","size":2},
+  {"id":"h2","locality":"c","size":2},
+  {"id":"h3","locality":"b","size":2,"rack":7}]},
+ "settings":{"index":1,"groupSize":3,"zone":1,"zones":["a","b","c"],"registryMode":"ask",
+  "lanes":[{"name":"feed","aim":800.0,"deadline":4800.0,"worth":3,"semantics":"safe"}],
+  "rules":{"askWithin":10000,"stopSendingWithin":400},"domain":{"mode":"pass"}}}`
+
+const shapeText = `list = "push"
+nodes = 95
+gone = ["c"]
+[[location]]
+name = "y"
+from = ["b"]
+[[location]]
+name = "x"
+from = ["a"]
+[rules]
+drain_grace_ms = 50
+[prices]
+cross_zone = 0.1
+`
+
+func shape(t *testing.T, text string) (s Shape) {
+	t.Helper()
+	if err := conf.Decode("shape", []byte(text), &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestACounterpartIsMadeAndEachFieldIsTold(t *testing.T) {
+	out, report, err := Run([]byte(old), shape(t, shapeText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, _, _ := Run([]byte(old), shape(t, shapeText)); !bytes.Equal(out, again) {
+		t.Error("the same input gave other bytes")
+	}
+	var file struct{ Settings json.RawMessage }
+	if err := json.Unmarshal(out, &file); err != nil {
+		t.Fatal(err)
+	}
+	set, err := settings.Parse(1, file.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if set.AskList || set.Zone != 0 || set.Zones != 2 || set.GroupSize != 95 || set.CrossPrice != 0.1 ||
+		set.DrainGrace.Milliseconds() != 50 || !set.Pass {
+		t.Errorf("the new settings are %+v", set.Settings)
+	}
+	if !strings.Contains(string(out), "12345678901234567890.10") || strings.Contains(string(out), `"h2"`) {
+		t.Errorf("a figure was written anew, or a host of a location that goes is there:\n%s", out)
+	}
+	got := map[string]string{}
+	for _, l := range report {
+		got[l.Field+" "+l.What] = l.Old + " " + l.New
+	}
+	for _, want := range []struct{ field, values string }{
+		{"name carried", `"n3" "n3"`}, {"big kept", "12345678901234567890.10 12345678901234567890.10"},
+		{"known.members[0].locality changed", `"a" "x"`}, {"known.members[2].rack kept", "7 7"},
+		{"known.members[1] not carried", `"h2" `}, {"settings.zones not carried", "c "},
+		{"settings.zone changed", "1 0"}, {"settings.prices.crossZone set", " 0.1"},
+		{"settings.rules.stopSendingWithin changed", "400 50"}, {"settings.lanes[0].aim carried", "800.0 800.0"},
+	} {
+		if got[want.field] != want.values {
+			t.Errorf("%s: %q, want %q", want.field, got[want.field], want.values)
+		}
+	}
+	if _, _, err := Run(out, shape(t, shapeText)); err == nil || !strings.Contains(err.Error(), "new shape already") {
+		t.Errorf("a second time: %v", err)
+	}
+}
+
+func TestWhatCanNotBeMigratedIsSaidWithItsPlace(t *testing.T) {
+	for _, c := range []struct{ name, from, to, shape, want string }{
+		{"cut short", `"c"],"registryMode"`, "", "", "line 6"},
+		{"twice", `"name":"n3"`, `"name":"n3","name":"n4"`, "", `line 1: field "name"`},
+		{"in capitals", `"groupSize"`, `"GroupSize"`, "", "groupSize"},
+		{"a zone that is none", `"zone":1`, `"zone":3`, "", "settings.zone"},
+		{"a zone of words", `"zone":1`, `"zone":"b"`, "", "settings.zone"},
+		{"zones missing", `"zones"`, `"places"`, "", "settings.zones"},
+		{"node where it goes", `"zone":1`, `"zone":2`, "", "settings.zone"},
+		{"host nowhere", `"locality":"b"`, `"locality":"q"`, "", "known.members[2].locality"},
+		{"not mapped", "", "", strings.Replace(shapeText, `["c"]`, `[]`, 1), "settings.zones[2]"},
+		{"mapped from nowhere", "", "", strings.Replace(shapeText, `["a"]`, `["a","d"]`, 1), "location[1].from"},
+		{"too few nodes", "", "", strings.Replace(shapeText, "95", "1", 1), "settings.index"},
+		{"no settings", `"settings"`, `"set"`, "", "settings"},
+		{"deep", `"big":12345678901234567890.10`, `"big":` + strings.Repeat("[", 100) + strings.Repeat("]", 100), "", "levels"},
+	} {
+		text, s := strings.Replace(old, c.from, c.to, 1), shapeText
+		if c.name == "cut short" {
+			text = old[:strings.Index(old, c.from)]
+		}
+		if c.shape != "" {
+			s = c.shape
+		}
+		out, _, err := Run([]byte(text), shape(t, s))
+		if err == nil || !strings.Contains(err.Error(), c.want) || out != nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+	for _, c := range [][3]string{
+		{`"push"`, `"pull"`, "list"}, {"nodes", "knots", "knots"}, {`["a"]`, `["a","b"]`, "location[1].from"},
+		{`name = "x"`, `name = "y"`, "location[1].name"}, {`["c"]`, `["c","c"]`, "gone"},
+	} {
+		var s Shape
+		err := conf.Decode("shape", []byte(strings.Replace(shapeText, c[0], c[1], 1)), &s)
+		var at *conf.Error
+		if !errors.As(err, &at) || at.Line == 0 || at.Key != c[2] {
+			t.Errorf("%s in place of %s: %v", c[1], c[0], err)
+		}
+	}
+}
+
+// Whatever a file holds: an error or a configuration that can be read, no panic.
+func FuzzRun(f *testing.F) {
+	f.Add([]byte(old))
+	f.Add([]byte(`{"settings":{"zones":["a"],"zone":0,"registryMode":null},"known":{"members":[1,{"locality":2}]}}`))
+	var s Shape
+	if err := conf.Decode("shape", []byte(shapeText), &s); err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if out, _, err := Run(text, s); err == nil && !json.Valid(out) {
+			t.Errorf("written, and can't be read: %s", out)
+		}
+	})
+}
