--- a/brain/api.go
+++ b/brain/api.go
@@ -57,7 +57,6 @@
 	MaxAttempts   int // 0 for no limit
 	MayCancel     bool
 	MayProbe      bool
-	Reports       bool // a probe's answer tells load over capacity
 	MayTell       bool
 	MaxRetryAfter time.Duration // the longest that a client stays away; 0 where it can't be told
 
@@ -155,13 +154,6 @@
 		Outcome Outcome
 		Final   bool // the request is concluded, now or before
 	}
-	// Probed is the result of a Probe. Excess is load over capacity, -1 where not reported.
-	Probed struct {
-		Server  ServerID
-		Outcome Outcome
-		Took    time.Duration
-		Excess  float64
-	}
 	// LoadNote gives the load of an open connection, in work a second.
 	LoadNote struct {
 		ID   RequestID
@@ -196,7 +188,6 @@
 func (Timer) event()       {}
 func (Opened) event()      {}
 func (Settled) event()     {}
-func (Probed) event()      {}
 func (LoadNote) event()    {}
 func (SlowNote) event()    {}
 func (PeerMessage) event() {}
@@ -246,8 +237,6 @@
 	}
 	// Move asks the client of an open connection to come again.
 	Move struct{ ID RequestID }
-	// Probe examines a server.
-	Probe struct{ Server ServerID }
 	// Wake asks for a Timer event at a time.
 	Wake struct {
 		At    time.Duration
@@ -264,7 +253,6 @@
 func (Fail) action()   {}
 func (Cancel) action() {}
 func (Move) action()   {}
-func (Probe) action()  {}
 func (Wake) action()   {}
 func (Watch) action()  {}
 func (Log) action()    {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,6 @@
 	skipFactor, skipFloor = 1.5, 2
 	dearCrossing          = 0.05 // crossings that cost this part of a request's worth are to be saved
 
-	mostAsks   = 4    // servers that a request asks for a report: each takes a trip there and back
 	noteSmooth = 0.05 // the part of one load note that moves the means: some twenty notes set them
 	paceOff    = 16   // the multiple of the usual rate at which paced set-ups are let go again
 
@@ -82,11 +81,6 @@
 		b.opened(e)
 	case Settled:
 		b.settled(e)
-	case Probed:
-		if s := b.servers[e.Server]; s != nil && e.Outcome == Served && e.Excess >= 0 {
-			s.toldAt, s.excess = now, e.Excess
-		}
-		b.resume()
 	case LoadNote:
 		b.loaded(b.reqs[e.ID], e.Load)
 	case SlowNote:
@@ -178,17 +172,12 @@
 	} else if late := wait + b.gap*time.Duration(len(b.held)); late > left/2 {
 		b.giveUp(r, late)
 	} else {
-		b.hold(r, nil, b.nextSend)
+		r.heldTo = b.nextSend
+		b.held = append(b.held, r)
+		b.emit(Wake{r.heldTo, waitToken})
 	}
 }
 
-// hold lets a request wait for a server's report, or for its turn.
-func (b *Brain) hold(r *request, s *server, until time.Duration) {
-	r.asked, r.heldTo = s, until
-	b.held = append(b.held, r)
-	b.emit(Wake{until, waitToken})
-}
-
 // shared takes in how long a set-up took, twice its aim for one that failed. Set-ups slow on the whole come
 // from what they all call; sending on as clients return in a wave keeps that jammed. So the time between
 // sends grows by half, once for all that was sent before, and shrinks with time, not with good set-ups alone:
@@ -230,9 +219,6 @@
 		b.giveUp(r, aim)
 		return
 	}
-	if b.ask(r, s, left) {
-		return
-	}
 	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, an attempt
 	// given up early is work done for nothing and done again.
 	// One that has met no answer before, here or by the client's own account, waits on what all servers call.
@@ -250,40 +236,16 @@
 	b.emit(Send{r.ID, s.id, left})
 }
 
-// ask lets a request wait for the report of the server picked for it, where servers report when asked, so
-// that a node that sees little of a server does not add to a crowd there.
-func (b *Brain) ask(r *request, s *server, left time.Duration) bool {
-	if !b.set.Reports || r.MidFlow || r.asks >= mostAsks || b.reported(s) {
-		return false
-	}
-	r.asks++
-	b.hold(r, s, b.now+min(left, b.patience)/4)
-	if s.askedAt+b.patience/4 <= b.now { // not just asked
-		s.askedAt = b.now
-		b.emit(Probe{s.id})
-	}
-	return true
-}
-
-// resume sends on what has had its turn or its report, or has waited long enough: a server that does not say
-// how it is, is taken to fail.
+// resume sends on what has had its turn.
 func (b *Brain) resume() {
 	held := b.held
 	b.held = nil
 	for _, r := range held {
 		// Clocks count whole microseconds: a timer may be handled just before its time, and comes only once.
-		over, known := b.now+time.Microsecond >= r.heldTo, r.asked != nil && b.reported(r.asked)
-		switch {
-		case r.answered:
-		case !over && !known:
-			b.held = append(b.held, r)
-		case r.asked == nil:
+		if over := b.now+time.Microsecond >= r.heldTo; over && !r.answered {
 			b.try(r)
-		default:
-			if !known && !b.shunned(r.asked) {
-				b.strike(r.asked, 4*b.patience)
-			}
-			b.send(r, r.deadline-b.now)
+		} else if !r.answered {
+			b.held = append(b.held, r)
 		}
 	}
 }
@@ -411,8 +373,6 @@
 			k, v = 4, s.suspect.Seconds()
 		case b.full(s, r, load):
 			continue // one more would only make it late for all that it has
-		case b.reported(s) && s.excess > room*headroom:
-			k, v = 3, s.excess
 		case b.over(s, load):
 			k, v = 3, b.bears(s)/b.carries(s)
 		case home:
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -187,7 +187,7 @@
 		t.Error("the request is not freed with its last attempt")
 	}
 	for _, e := range []Event{ClientGone{ID: "r"}, Settled{ID: "r"}, Opened{ID: "r"}, LoadNote{ID: "r", Load: 1},
-		SlowNote{ID: "r", Message: time.Second}, Timer{Token: "other"}, Probed{}, PeerMessage{}} {
+		SlowNote{ID: "r", Message: time.Second}, Timer{Token: "other"}, PeerMessage{}} {
 		if out := b.Handle(3*ms, e); len(out) != 0 {
 			t.Errorf("%T for what is no longer held drew %v", e, out)
 		}
@@ -367,7 +367,7 @@
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 0))
 		set := testSettings()
-		set.Seed, set.MayProbe, set.Reports = seed, seed%2 == 1, seed%2 == 1
+		set.Seed = seed
 		servers := 8
 		if seed%4 > 1 { // a large fleet behind many nodes
 			servers, set.GroupSize = 100, 160
@@ -378,7 +378,6 @@
 		sent := map[RequestID]int{}
 		done := map[RequestID]bool{}
 		now := time.Duration(0)
-		var probed []ServerID // whose answer is not in yet
 		step := func(e Event) {
 			out := nodes[0].Handle(now, e)
 			if twin := nodes[1].Handle(now, e); fmt.Sprint(twin) != fmt.Sprint(out) {
@@ -411,11 +410,6 @@
 					done[a.ID] = true
 				case Move:
 					done[a.ID] = true
-				case Probe:
-					if !set.MayProbe {
-						t.Fatalf("seed %d: a probe where none is allowed", seed)
-					}
-					probed = append(probed, a.Server)
 				}
 			}
 		}
@@ -473,11 +467,6 @@
 				step(Timer{Token: sweepToken})
 				step(Timer{Token: waitToken})
 			}
-			if len(probed) > 0 && rng.IntN(3) > 0 { // the rest of the answers are lost
-				to := probed[0]
-				probed = probed[1:]
-				step(Probed{Server: to, Outcome: Outcome(rng.IntN(2)), Excess: 1.5 * rng.Float64()})
-			}
 		}
 		// When every attempt has ended, nothing is held.
 		for range 3 {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -13,7 +13,6 @@
 	ejectable  = 0.5    // the share of the fleet that suspicion may shut out: more is no server's fault
 	blindShort = 1. / 3 // the share of known servers that tells a node which sees little of a short fleet
 	headroom   = 0.92   // the part of what a server can do that a cut aims at
-	room       = 0.75   // the load that a report may show for one more: it is late, and other nodes send meanwhile
 	reserve    = 0.15   // the part of a limit that is kept for requests of most worth for their load
 	recovery   = 16     // longest deadlines in which a limit grows back: clients' own measure of long
 	fewCalls   = 25     // so many calls at once the list works through well before they are given up
@@ -118,10 +117,10 @@
 			b.own += s.weight
 		}
 		switch {
-		case b.limited(s) || b.reported(s) && s.excess > room*headroom:
+		case b.limited(s):
 			crowded += s.weight
 			known += s.weight
-		case s.conns > 0 || b.reported(s):
+		case s.conns > 0:
 			known += s.weight
 		}
 		if b.shunned(s) {
@@ -144,21 +143,16 @@
 // carries is the weight a server is good for now.
 func (b *Brain) carries(s *server) float64 { return s.weight * b.coldness(s) }
 
-// full reports whether a server has as much load as it copes with, by its own report or by what it was last
-// seen not to cope with, which grows back. One that would not say is left out once others have been asked.
+// full reports whether a server has as much load as it was last seen not to cope with, which grows back.
 func (b *Brain) full(s *server, r *request, load float64) bool {
 	keep := 1 - reserve*(1-b.value(r))
 	limit := s.limit + s.peak*float64(b.now-s.limitAt)/float64(b.recover)
-	return limit > 0 && b.bears(s)+load > limit*keep ||
-		b.reported(s) && s.excess > room*keep || b.set.Reports && r.asks >= mostAsks && !b.reported(s)
+	return limit > 0 && b.bears(s)+load > limit*keep
 }
 
 // limited reports whether a server's limit is new.
 func (b *Brain) limited(s *server) bool { return s.limit > 0 && b.now < s.limitAt+b.recover/4 }
 
-// reported reports whether a server's own report of its load is fresh.
-func (b *Brain) reported(s *server) bool { return s.toldAt > 0 && b.now < s.toldAt+b.patience }
-
 // shunned reports whether a server that fails attempts gets no new connection for now.
 func (b *Brain) shunned(s *server) bool { return b.now < s.suspect }
 
@@ -169,10 +163,10 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up; full
-// it has its part of the tenants' quotas, which are of the fleet at its largest. Without quotas it is what this
-// node places for the weight. A share of less than one connection in a window is one in some windows, by
-// chance: saved up, the shares of many nodes would come down together.
+// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up;
+// full it has its part of the tenants' quotas, which are of the fleet at its largest. Without quotas it is
+// what this node places for the weight. A share of under one connection in a window is one in some windows,
+// by chance: saved up, the shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
--- a/brain/size_test.go
+++ b/brain/size_test.go
@@ -288,51 +288,6 @@
 	}
 }
 
-// A node that sees little of a server asks it first: a crowded one is passed over, one that does not answer is
-// taken to fail, and where all are crowded the request is refused at once.
-func TestReportsSteerPlacement(t *testing.T) {
-	set := testSettings()
-	set.MayProbe, set.Reports = true, true
-	asked := func(out []Action) (to ServerID) {
-		for _, a := range out {
-			if p, ok := a.(Probe); ok {
-				to = p.Server
-			}
-		}
-		return to
-	}
-	b := started(t, set, 8)
-	out := b.Handle(time.Second, Arrival{ID: "r", Key: "k", Left: time.Second})
-	home := b.table.first[homeEntry(b, &request{Arrival: Arrival{Key: "k"}})].id
-	if asked(out) != home || len(sends(out)) != 0 {
-		t.Fatalf("actions %v, want a probe of %s only", out, home)
-	}
-	next := asked(b.Handle(time.Second+ms, Probed{Server: home, Excess: 0.9}))
-	if next == "" || next == home {
-		t.Fatalf("after a crowded report %q is asked", next)
-	}
-	if s := sends(b.Handle(time.Second+2*ms, Probed{Server: next, Excess: 0.1})); len(s) != 1 || s[0].Server != next {
-		t.Errorf("sent %v, want to %s, which has room", s, next)
-	}
-
-	b = started(t, set, 8)
-	home = asked(b.Handle(time.Second, Arrival{ID: "r", Key: "k", Left: time.Second}))
-	next = asked(b.Handle(time.Second+b.patience/4, Timer{Token: waitToken}))
-	if next == "" || next == home || !b.shunned(b.servers[home]) {
-		t.Errorf("%s did not answer, yet %q is asked", home, next)
-	}
-
-	b = started(t, set, 8)
-	to := asked(b.Handle(time.Second, Arrival{ID: "r", Key: "k", Left: time.Second}))
-	for i := 0; i < 8 && to != ""; i++ {
-		out = append([]Action(nil), b.Handle(time.Second+ms, Probed{Server: to, Excess: 2})...)
-		to = asked(out)
-	}
-	if n, refused := finals(out, "r"); n != 1 || !refused {
-		t.Errorf("all are crowded and the actions are %v, want a refusal", out)
-	}
-}
-
 // With many nodes each holds one connection of a crowd: if all moved theirs, or none, it would not ease.
 func TestManyNodesMoveTheirPartOfACrowd(t *testing.T) {
 	const nodes = 400
--- a/brain/state.go
+++ b/brain/state.go
@@ -25,8 +25,6 @@
 	conn     *server // where it stands
 	load     float64
 	answered bool          // has had its final answer
-	asks     int           // how many servers' reports it has waited for
-	asked    *server       // whose report it waits for, nil where it waits for its turn
 	heldTo   time.Duration // it waits no longer
 }
 
@@ -37,7 +35,7 @@
 	out          []Action
 	rng          *rand.Rand
 	aim, recover time.Duration // shortest message aim; time in which a limit grows back
-	patience     time.Duration // shortest set-up aim: how long a report counts, and is waited for
+	patience     time.Duration // shortest set-up aim
 	table        table
 	servers      map[ServerID]*server
 	reqs         map[RequestID]*request
@@ -56,7 +54,7 @@
 	gap, nextSend, cutAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                time.Duration // what a set-up takes of late, over all servers
 	failing              *server       // the one that failed a set-up last
-	held                 []*request    // wait for a report or their turn
+	held                 []*request    // wait for their turn
 	open                 int           // connections and attempts under way, and those of each group
 	groups               map[string]int
 	tenants              []int // open connections of each, the last for requests of none
@@ -97,8 +95,6 @@
 	lostAt             time.Duration
 	borne              float64       // what it bore before
 	message, messageAt time.Duration // how long messages took, and when that was told
-	excess             float64       // load over capacity by its last report
-	toldAt, askedAt    time.Duration // when that came, 0 for never, and was last asked for
 
 	tokens  float64 // cold budget left, in connections, of the window that began at refill
 	refill  time.Duration
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -16,7 +16,6 @@
 
 	"onyxstream/brain"
 	"onyxstream/internal/node"
-	"onyxstream/internal/wire"
 )
 
 // Config is what the sockets need to know.
@@ -26,7 +25,6 @@
 	AnswerSlack    time.Duration // after a client's deadline, the backstop answers
 	Patience       time.Duration // a client that does not say how long it waits is taken to wait this long
 	MaxRetryAfter  time.Duration // the longest advice that clients follow; 0 where none may be given
-	Reports        bool          // hosts tell their load when probed
 	Classes        []string      // that clients can name
 	Others         int           // descriptors that others of the process need
 }
@@ -266,61 +264,6 @@
 	}
 }
 
-// Probe examines a host on a connection of its own.
-func (d *Driver) Probe(id brain.ServerID, addr string) {
-	if !d.begin() {
-		return
-	}
-	go func() {
-		defer d.wg.Done()
-		defer d.caught("a probe failed badly")
-		start := time.Now()
-		outcome, excess := d.probe(addr)
-		d.node.Probed(id, outcome, time.Since(start), excess)
-	}()
-}
-
-const probeWait = 500 * time.Millisecond
-
-func (d *Driver) probe(addr string) (brain.Outcome, float64) {
-	dialer := net.Dialer{Timeout: probeWait, KeepAlive: -1}
-	c, err := dialer.Dial("tcp", addr)
-	if err != nil {
-		return brain.NoConnect, -1
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(probeWait))
-	ask := "PING\r\n"
-	if d.cfg.Reports {
-		ask = "STATS\r\n"
-	}
-	if _, err := c.Write([]byte(ask)); err != nil {
-		return brain.Reset, -1
-	}
-	var in wire.Inbox
-	defer in.Free()
-	for {
-		line, ok, err := in.Next()
-		if err != nil {
-			return brain.Errored, -1
-		}
-		if ok {
-			if p := wire.ParsePinged(line); p.Well {
-				return brain.Served, p.Excess
-			}
-			return brain.Errored, -1
-		}
-		n, err := c.Read(in.Space())
-		in.Fed(n)
-		if n == 0 && err != nil {
-			if timedOut(err) {
-				return brain.NoAnswer, -1
-			}
-			return brain.Reset, -1
-		}
-	}
-}
-
 // caught ends a panic where it arose: other connections go on.
 func (d *Driver) caught(what string) {
 	if p := recover(); p != nil {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -288,7 +288,6 @@
 		}
 	}
 	r.d.Ping("h0", l.Addr().String())
-	r.d.Probe("h0", l.Addr().String())
 	r.end()
 	_ = l.Close()
 	hosts.Wait()
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -205,7 +205,7 @@
 	}
 	return driver.New(driver.Config{Sockets: cfg.Sockets, ConnectTimeout: cfg.Settings.ConnectTimeout,
 		AnswerSlack: cfg.Settings.AnswerSlack, Patience: patience, MaxRetryAfter: cfg.Settings.MaxRetryAfter,
-		Reports: cfg.Settings.Reports, Classes: cfg.Settings.ClassNames, Others: others}, log)
+		Classes: cfg.Settings.ClassNames, Others: others}, log)
 }
 
 // logger writes lines to standard error. Of one message only the first few of a second and then every
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,9 +45,8 @@
 
 // Outside is what the loop needs of the sockets beside its ports. None of it may block.
 type Outside interface {
-	Watch(Call)                           // ask discovery for the list, and follow it
-	Probe(id brain.ServerID, addr string) // examine a host, for the module
-	Ping(id brain.ServerID, addr string)  // time a message at a host
+	Watch(Call)                          // ask discovery for the list, and follow it
+	Ping(id brain.ServerID, addr string) // time a message at a host
 }
 
 // Call is a question to discovery that lasts: for what changed after a version, or for the whole list where
@@ -121,7 +120,6 @@
 	evList
 	evWatchFailed
 	evFollow
-	evProbed
 	evPinged
 	evMoveAll
 	evResume
@@ -279,11 +277,6 @@
 // Follow has the list asked for at another address from now on.
 func (n *Node) Follow(addr string) { n.post(event{kind: evFollow, text: addr}) }
 
-// Probed tells the result of a probe; excess is -1 where the host reported none.
-func (n *Node) Probed(id brain.ServerID, outcome brain.Outcome, took time.Duration, excess float64) {
-	n.post(event{kind: evProbed, id: brain.RequestID(id), outcome: outcome, took: took, load: excess})
-}
-
 // Pinged tells what a message took at a host, or that no answer came in that time; below 0 where the host could
 // not be asked, which says nothing of its messages.
 func (n *Node) Pinged(id brain.ServerID, took time.Duration) {
@@ -422,8 +415,6 @@
 			return
 		}
 		n.watching, n.watchAt = false, time.Now().Add(rewatch(n.set.Index))
-	case evProbed:
-		n.decide(brain.Probed{Server: brain.ServerID(e.id), Outcome: e.outcome, Took: e.took, Excess: e.load})
 	case evPinged:
 		if m := n.members[brain.ServerID(e.id)]; m != nil {
 			n.pinged(m, e.took)
@@ -533,12 +524,6 @@
 		if r := n.reqs[a.ID]; r != nil {
 			n.move(r)
 		}
-	case brain.Probe:
-		if m := n.members[a.Server]; m != nil && m.addr != "" {
-			n.outside.Probe(a.Server, m.addr)
-		} else {
-			n.queue = append(n.queue, brain.Probed{Server: a.Server, Outcome: brain.NeverPassed, Excess: -1})
-		}
 	case brain.Wake:
 		n.timers.add(a.At, a.Token)
 	case brain.Watch:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -53,12 +53,10 @@
 // world records what the loop asks of the sockets beside its connections.
 type world struct {
 	watches []Call
-	probes  []brain.ServerID
 	pings   []brain.ServerID
 }
 
-func (w *world) Watch(c Call)                      { w.watches = append(w.watches, c) }
-func (w *world) Probe(id brain.ServerID, _ string) { w.probes = append(w.probes, id) }
+func (w *world) Watch(c Call) { w.watches = append(w.watches, c) }
 
 func (w *world) Ping(id brain.ServerID, _ string) { w.pings = append(w.pings, id) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -51,10 +50,6 @@
 		Mode       string    `json:"mode"`
 		TenantOpen []float64 `json:"tenantQuotaConnections"`
 	} `json:"domain"`
-	Report struct {
-		How    string   `json:"how"`
-		Fields []string `json:"fields"`
-	} `json:"report"`
 	Limits struct {
 		Cancel         bool `json:"cancel"`
 		ConnectTimeout ms   `json:"connectTimeout"`
@@ -131,7 +126,6 @@
 		FallWindow: f.Rules.OverloadFor.duration(), AskWithin: f.Rules.AskWithin.duration(),
 		CrossPrice: f.Prices.CrossZone, Zones: len(f.Zones),
 	}
-	s.Reports = s.MayProbe && f.Report.How == "on_probe" && slices.Contains(f.Report.Fields, "x0")
 	if f.Limits.RetryAfter {
 		s.MaxRetryAfter = f.Limits.MaxRetryAfter.duration()
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,7 +31,7 @@
 	switch {
 	case s.Seed != 7 || s.Index != 1 || s.GroupSize != 3 || s.Zone != 2 || s.OverShareWorth != 0.1:
 		t.Errorf("place: %+v", s)
-	case !s.Pass || !s.AskList || !s.MayCancel || !s.MayProbe || !s.Reports || s.MayTell || !s.Groups || !s.TellsDelay:
+	case !s.Pass || !s.AskList || !s.MayCancel || !s.MayProbe || s.MayTell || !s.Groups || !s.TellsDelay:
 		t.Errorf("what is allowed: %+v", s)
 	case len(s.Classes) != 1 || s.Classes[0] != class:
 		t.Errorf("classes %+v", s.Classes)
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -83,7 +83,7 @@
 	serial                          int64
 	buffer                          int
 	remaining, timeTaken            time.Duration
-	expected, value, excess         float64
+	expected, value                 float64
 	retry, stray, again, last       bool
 	rows                            []brain.Server
 	seed                            uint64
@@ -121,7 +121,7 @@
 
 // decode reads the object of one event. names interns host names.
 func (e *event) decode(d *jx.Decoder, names map[string]brain.ServerID) error {
-	*e = event{excess: -1}
+	*e = event{}
 	return d.ObjBytes(func(d *jx.Decoder, key []byte) error {
 		if d.Next() == jx.Null {
 			if string(key) == "room" || string(key) == "entity" || string(key) == "load" {
@@ -195,15 +195,6 @@
 				e.rows = append(e.rows, row)
 				return err
 			})
-		case "load":
-			err = d.ObjBytes(func(d *jx.Decoder, key []byte) error {
-				if string(key) != "x0" || d.Next() != jx.Number {
-					return d.Skip()
-				}
-				var err error
-				e.excess, err = d.Float64()
-				return err
-			})
 		case "prng":
 			e.seen |= fSeed
 			e.seed, err = seed(d)
@@ -338,10 +329,6 @@
 		w.FieldStart("redirect")
 		w.ObjStart()
 		str(w, "id", string(a.ID))
-	case brain.Probe:
-		w.FieldStart("check")
-		w.ObjStart()
-		str(w, "host", string(a.Server))
 	case brain.Wake:
 		w.FieldStart("arm")
 		w.ObjStart()
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -266,7 +266,7 @@
 		return brain.Settled{ID: id, Attempt: e.trial, Server: e.host, Took: e.timeTaken,
 			Outcome: e.result, Final: e.last}, nil
 	case "pong":
-		return brain.Probed{Server: e.host, Outcome: e.result, Took: e.timeTaken, Excess: e.excess}, nil
+		return nil, nil // nothing is probed
 	case "heartbeat":
 		if e.kind == 1 {
 			return brain.LoadNote{ID: id, Load: e.value}, nil
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"math"
 	"strconv"
-	"strings"
 )
 
 // Answer is what a host says first.
@@ -96,25 +95,3 @@
 	v, err := strconv.ParseFloat(string(line[len("LOAD "):]), 64)
 	return v, err == nil && v >= 0 && v < math.MaxFloat64
 }
-
-// Pinged is the answer to a probe.
-type Pinged struct {
-	Well   bool
-	Excess float64 // load over capacity, -1 where not reported
-}
-
-// ParsePinged reads the line that answers PING or STATS. The report is a list like that of OPEN; names that it
-// does not know are passed over.
-func ParsePinged(line []byte) Pinged {
-	p := Pinged{Excess: -1}
-	word, report, _ := strings.Cut(string(line), " ")
-	p.Well = word == "PONG"
-	for pair := range strings.SplitSeq(report, ",") {
-		if name, value, _ := strings.Cut(pair, "="); name == "x0" {
-			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < math.MaxFloat64 {
-				p.Excess = v
-			}
-		}
-	}
-	return p
-}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -213,18 +213,6 @@
 	}
 }
 
-func TestParsePinged(t *testing.T) {
-	for line, want := range map[string]Pinged{
-		"PONG": {true, -1}, "PONG util=1,x0=0.5,new=thing": {true, 0.5}, "PONG x0=0": {true, 0},
-		"PONG x0=much": {true, -1}, "PONG x0=-1": {true, -1}, "PONG x0": {true, -1}, "PONG ,=,x00=1": {true, -1},
-		"ERR": {false, -1}, "NO": {false, -1}, "": {false, -1},
-	} {
-		if got := ParsePinged([]byte(line)); got != want {
-			t.Errorf("%q read as %+v, want %+v", line, got, want)
-		}
-	}
-}
-
 const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
 func stream(text string, size int) (s Stream, lines []string, err error) {
