--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -98,16 +98,6 @@
 	}
 }
 
-// begin counts a goroutine; false once the driver has ended.
-func (d *Driver) begin() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.closed {
-		d.wg.Add(1)
-	}
-	return !d.closed
-}
-
 // Share sets how many descriptors this process may hold now: while another process of the node is there, both together
 // stay within the limit. What is open stays; it is only that less comes.
 func (d *Driver) Share(sockets int) {
