--- a/brain/brain.go
+++ b/brain/brain.go
@@ -339,9 +339,10 @@
 	}
 	for i, left := 0, len(b.table.holders); i < size+places && left > 0; i++ {
 		at := b.entry(at, own, places, i)
-		for _, s := range b.table.hops(at) { // it stands where the table put it, however loaded that server is
-			if r.MidFlow && !met && s != nil && (!local || s.zone == b.set.Zone) {
-				if b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+		if r.MidFlow && !met { // it stands where the table put it, however loaded that server is
+			for _, s := range b.table.hops(at) {
+				fits := s != nil && (!local || s.zone == b.set.Zone)
+				if fits && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
 					return s
 				}
 			}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -12,7 +12,7 @@
 const (
 	ejectable  = 0.5    // the share of the fleet that suspicion may shut out: more is no server's fault
 	blindShort = 1. / 3 // the share of known servers that tells a node which sees little of a short fleet
-	headroom   = 0.92   // the part of what a server can do that a cut aims at
+	headroom   = 0.88   // the part of what a server can do that a cut aims at
 	reserve    = 0.15   // the part of a limit that is kept for requests of most worth for their load
 	recovery   = 16     // longest deadlines in which a limit grows back: clients' own measure of long
 	fewCalls   = 25     // so many calls at once the list works through well before they are given up
