Long set-ups no longer count as late messages

On sockets set-ups take three times the usual for reasons of their own, the session store first of all, and hosts were cut for it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -451,9 +451,6 @@
 		r.conn = a.to
 		b.placed, b.total = b.placed+1, b.total+1
 		b.shared(r, a, e.Took, false)
-		if b.aim > 0 && e.Took > b.aim && e.Took > 3*b.setup { // it waited as messages will
-			b.slow(r, e.Took)
-		}
 		b.well(r.conn)
 	}
 }
