--- a/brain/brain.go
+++ b/brain/brain.go
@@ -333,18 +333,12 @@
 	var best *server
 	var rank, value float64
 	local, met := b.stays(at), false
-	near, size := groupReach, len(b.table.first)
-	if b.blind() {
-		near = blindReach
-	}
+	near, size := b.reach, len(b.table.first)
 	for i, left := 0, len(b.table.holders); i < size+places && left > 0; i++ {
 		at := b.entry(at, own, places, i)
-		if r.MidFlow && !met { // it stands where the table put it, however loaded that server is
-			for _, s := range b.table.hops(at) {
-				fits := s != nil && (!local || s.zone == b.set.Zone)
-				if fits && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
-					return s
-				}
+		if r.MidFlow && !met {
+			if s := b.stands(r, at, local); s != nil {
+				return s
 			}
 		}
 		s := b.table.first[at]
@@ -388,6 +382,16 @@
 	return best
 }
 
+// stands finds where a mid-flow connection stands: where the table put it, however loaded that server is.
+func (b *Brain) stands(r *request, at int, local bool) *server {
+	for _, s := range b.table.hops(at) {
+		if s != nil && (!local || s.zone == b.set.Zone) && b.allowed(r, s) && b.affords(s) && !b.shunned(s) {
+			return s
+		}
+	}
+	return nil
+}
+
 // stays reports whether clients of an entry are kept in this node's zone, where crossings are dear: all, or
 // as many as its servers bear of their part if the clients come to all zones alike; the hash says which.
 func (b *Brain) stays(at uint64) bool {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -131,9 +131,9 @@
 		}
 	}
 	b.most = max(b.most, b.weight)
-	b.trusting, b.short = shut > ejectable*b.weight, crowded > ejectable*known
+	b.trusting, b.short, b.reach = shut > ejectable*b.weight, crowded > ejectable*known, groupReach
 	if b.blind() { // it knows few, and late
-		b.short = crowded > blindShort*known
+		b.short, b.reach = crowded > blindShort*known, blindReach
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -44,6 +44,7 @@
 	load, usable, weight float64   // summed by weigh
 	most                 float64   // the largest weight so far
 	own                  float64   // the weight in this node's zone
+	reach                int       // how many servers a group may newly stand on in a short fleet
 	group                float64   // what a group costs a server that holds it
 	trusting, short      bool      // most is suspect, so that is set aside; most of what is known is crowded
 	unit                 float64   // mean load of a connection, 0 while no note has come
