--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -13,7 +13,6 @@
 	"onyxstream/internal/conf"
 	"onyxstream/internal/lifecycle"
 	"onyxstream/internal/load"
-	"onyxstream/internal/migrate"
 )
 
 // The exit statuses.
@@ -65,11 +64,10 @@
 	var s *status
 	var file *conf.Error
 	var trace *load.TraceError
-	var old *migrate.Error
 	switch {
 	case errors.As(err, &s):
 		return s.code
-	case errors.As(err, &file), errors.As(err, &trace), errors.As(err, &old):
+	case errors.As(err, &file), errors.As(err, &trace):
 		return ExitUsage
 	}
 	return ExitFailed
--- a/internal/migrate/migrate.go
+++ b/internal/migrate/migrate.go
@@ -76,12 +76,13 @@
 	}
 	before, _ := parse(old)
 	m := &move{shape: shape, root: root, changed: map[string]Line{}}
-	for _, step := range []func() error{m.names, m.locations, m.hosts, m.size, m.traffic} {
+	for _, step := range []func() error{m.names, m.locations, m.hosts, m.size} {
 		if err := step(); err != nil {
 			return nil, nil, err
 		}
 	}
 	m.rules()
+	m.traffic()
 	var text bytes.Buffer
 	if err := json.Indent(&text, []byte(root.text()), "", "  "); err != nil {
 		return nil, nil, err
@@ -284,50 +285,53 @@
 	}
 }
 
-// traffic sets classes and tenants. An old class that has no counterpart is named.
-func (m *move) traffic() error {
-	if len(m.shape.Classes) > 0 {
-		var lanes []map[string]any
-		var aims []float64
-		for _, c := range m.shape.Classes {
-			lanes = append(lanes, map[string]any{"name": c.Name, "aim": c.Setup, "deadline": c.Deadline, "worth": c.Worth,
-				"semantics": c.Repeat, "group": "all"})
-			aims = append(aims, c.Message)
+// traffic sets classes and tenants. One of the same name keeps what the shape does not name, also what the program does
+// not know; an old one without a counterpart is named.
+func (m *move) traffic() {
+	var classes, tenants []string
+	var aims, open []float64
+	for _, c := range m.shape.Classes {
+		classes, aims = append(classes, c.Name), append(aims, c.Message)
+	}
+	for _, t := range m.shape.Tenants {
+		tenants, open = append(tenants, t.Name), append(open, t.Connections)
+	}
+	if lanes := m.entries("settings.lanes", classes); len(lanes) > 0 {
+		for i, c := range m.shape.Classes {
+			lanes[i].put("aim", of(c.Setup))
+			lanes[i].put("deadline", of(c.Deadline))
+			lanes[i].put("worth", of(c.Worth))
+			lanes[i].put("semantics", of(c.Repeat))
 		}
-		m.lost("settings.lanes", func(name string) bool {
-			return slices.ContainsFunc(m.shape.Classes, func(c Class) bool { return c.Name == name })
-		})
 		m.put("settings.lanes", lanes, "classes of the new shape")
 		m.put("settings.domain.messageAim", aims, "classes of the new shape")
 	}
-	if len(m.shape.Tenants) > 0 {
-		var customers []map[string]any
-		var open []float64
-		for _, t := range m.shape.Tenants {
-			customers, open = append(customers, map[string]any{"name": t.Name}), append(open, t.Connections)
-		}
-		m.lost("settings.customers", func(name string) bool {
-			return slices.ContainsFunc(m.shape.Tenants, func(t Tenant) bool { return t.Name == name })
-		})
+	if customers := m.entries("settings.customers", tenants); len(customers) > 0 {
 		m.put("settings.customers", customers, "tenants of the new shape")
 		m.put("settings.domain.tenantQuotaConnections", open, "tenants of the new shape")
 	}
-	return nil
 }
 
-// lost names what a list had that the shape does not.
-func (m *move) lost(path string, has func(name string) bool) {
-	list := m.root.get(path)
-	if list == nil {
-		return
+// entries gives each name its entry of an old list, or one of its name alone, and notes what the list had beside them.
+func (m *move) entries(path string, names []string) (out []*value) {
+	if len(names) == 0 {
+		return nil
 	}
-	for i, item := range list.items {
-		name := item.get("name")
-		if name == nil {
-			continue
+	old := map[string]*value{}
+	if list := m.root.get(path); list != nil {
+		for i, item := range list.items {
+			name := item.get("name").text()
+			if old[name] = of(item); !slices.ContainsFunc(names, func(n string) bool { return of(n).text() == name }) {
+				m.gone = append(m.gone, Line{Field: fmt.Sprintf("%s[%d]", path, i), What: Left, Old: name, Why: "the new shape has none"})
+			}
 		}
-		if s, ok := name.scalar.(string); !ok || !has(s) {
-			m.gone = append(m.gone, Line{Field: fmt.Sprintf("%s[%d]", path, i), What: Left, Old: name.text(), Why: "the new shape has none"})
+	}
+	for _, n := range names {
+		v := old[of(n).text()]
+		if v == nil {
+			v = of(map[string]string{"name": n})
 		}
+		out = append(out, v)
 	}
+	return out
 }
--- a/internal/migrate/value.go
+++ b/internal/migrate/value.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"unicode/utf8"
 )
 
 // mostDepth bounds how deep objects and arrays may stand in each other: a file of brackets alone must not use up the
@@ -53,6 +54,9 @@
 
 // parse reads one JSON value and nothing behind it. Errors are *Error.
 func parse(text []byte) (*value, error) {
+	if !utf8.Valid(text) { // what is no text would be written as something else
+		return nil, &Error{Err: errors.New("is no UTF-8 text")}
+	}
 	r := &reader{text: text, dec: json.NewDecoder(bytes.NewReader(text)), line: 1}
 	r.dec.UseNumber()
 	v, err := r.value("", 0)
@@ -98,6 +102,7 @@
 		return nil, &Error{v.line, path, fmt.Errorf("more than %d levels", mostDepth)}
 	}
 	v.kind, v.scalar = byte(d), nil
+	seen := map[string]bool{}
 	for r.dec.More() {
 		at := fmt.Sprintf("%s[%d]", path, len(v.items))
 		if v.kind == '{' {
@@ -106,9 +111,10 @@
 				return nil, err
 			}
 			key, _ := t.(string)
-			if at = join(path, key); v.get(key) != nil {
+			if at = join(path, key); seen[key] {
 				return nil, &Error{r.here(), at, errors.New("stands there twice")}
 			}
+			seen[key] = true
 			v.keys = append(v.keys, key)
 		}
 		item, err := r.value(at, depth+1)
@@ -155,6 +161,9 @@
 		v.keys, v.items, at = append(v.keys, key), append(v.items, &value{kind: '{'}), len(v.items)
 	}
 	if more {
+		if v.items[at].kind == 0 { // null, as good as missing; a node refuses all else
+			v.items[at] = &value{kind: '{'}
+		}
 		v.items[at].put(rest, to)
 		return
 	}
