The stand-in list service bears so many calls; links reach Unix sockets and keep ledgers

For starts of hundreds of nodes: calls cost time and are worked through in turn, those that waited too long or find the queue full are answered 503 with any Retry-After, and a service can be put back with an older, shorter or empty list. A refusal's Retry-After is read where it came with the status line.

--- a/internal/stand/discovery.go
+++ b/internal/stand/discovery.go
@@ -23,6 +23,14 @@
 	Mute        // calls and watches stay open and nothing comes, not even the beat
 )
 
+// Load is what a stand-in discovery bears. The zero value bears any number of calls at once.
+type Load struct {
+	Cost  time.Duration // what one call takes, a list or the first answer of a watch; calls are worked through in turn
+	Wait  time.Duration // a call that has waited so long is turned away; 0 for none is
+	Queue int           // calls that may wait at one time, those past it are turned away at once; 0 for any number
+	After string        // the Retry-After of what is turned away, word for word; "" for none
+}
+
 // beat is how often a watch says that it stands while nothing changes.
 const beat = 500 * time.Millisecond
 
@@ -46,7 +54,10 @@
 	wake     chan struct{} // closed and made anew when something is to be told
 	calls    []string
 	watching int
-	raw      string // what every list and watch begins with in place of the list; "" for none
+	load     Load
+	free     time.Duration // when it has worked through all calls that were taken
+	waiting  int           // calls that wait for their turn
+	raw      string        // what every list and watch begins with in place of the list; "" for none
 	rawSaid  map[chan string]bool
 }
 
@@ -159,15 +170,30 @@
 	d.rouse()
 }
 
+// Bears sets what it bears from now on.
+func (d *Discovery) Bears(l Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.load = l
+}
+
 // Restart breaks all watches and counts revisions anew from the one given, with what it knows.
 func (d *Discovery) Restart(revision int64) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	for i := range d.changes {
 		d.show(&d.changes[i])
 	}
 	c := d.shown.catalog()
-	d.begin(revision, c.Members)
+	d.mu.Unlock()
+	d.Restore(revision, c.Members...)
+}
+
+// Restore breaks all watches and has it know these members alone, from the revision given on: a service put back from
+// an older state, or one that has lost what it knew.
+func (d *Discovery) Restore(revision int64, members ...wire.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.begin(revision, members)
 	d.ledger.Add(Record{Who: "discovery", What: Fault, Note: "restarted at revision " + strconv.FormatInt(revision, 10)})
 	d.rouse()
 }
@@ -279,15 +305,16 @@
 		d.mu.Unlock()
 	}()
 	watch := q.URL.Query().Get("watch") != ""
+	d.ledger.Add(Record{Who: "discovery", What: Asked, Note: q.URL.RequestURI()})
 	switch {
 	case mode == Busy:
-		d.ledger.Add(Record{Who: "discovery", What: Turned})
-		http.Error(w, "down", http.StatusServiceUnavailable)
+		d.turn(w, "down")
 	case mode == Resets:
-		d.ledger.Add(Record{Who: "discovery", What: Turned})
+		d.ledger.Add(Record{Who: "discovery", What: Turned, Note: "reset"})
 		panic(http.ErrAbortHandler)
 	case mode == Mute:
 		<-q.Context().Done()
+	case !d.reached(w):
 	case raw != "" && watch:
 		d.watchRaw(w, q, raw, said)
 	case raw != "":
@@ -303,6 +330,52 @@
 	}
 }
 
+// turn answers a call with 503.
+func (d *Discovery) turn(w http.ResponseWriter, why string) {
+	d.mu.Lock()
+	after := d.load.After
+	d.mu.Unlock()
+	if after != "" {
+		w.Header().Set("Retry-After", after)
+	}
+	d.ledger.Add(Record{Who: "discovery", What: Turned, Note: why})
+	http.Error(w, why, http.StatusServiceUnavailable)
+}
+
+// reached waits until a call's turn has come and it is worked through; where it may not wait so long it is turned away.
+// One whose caller has left in the meantime has its turn too: the service learns that only when it answers.
+func (d *Discovery) reached(w http.ResponseWriter) bool {
+	d.mu.Lock()
+	l, now := d.load, d.clock.Now()
+	if l.Cost <= 0 {
+		d.mu.Unlock()
+		return true
+	}
+	begins := max(d.free, now)
+	full := l.Queue > 0 && d.waiting >= l.Queue
+	late := l.Wait > 0 && begins-now > l.Wait
+	if !full && !late {
+		d.free = begins + l.Cost
+	}
+	d.waiting++
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.waiting--
+	}()
+	switch {
+	case full:
+		d.turn(w, "the queue is full")
+	case late:
+		time.Sleep(l.Wait)
+		d.turn(w, "it waited too long")
+	default:
+		time.Sleep(begins + l.Cost - now)
+	}
+	return !full && !late
+}
+
 func (d *Discovery) write(w io.Writer, c wire.Catalog) bool {
 	text, err := json.Marshal(c)
 	if err != nil {
--- a/internal/stand/ledger.go
+++ b/internal/stand/ledger.go
@@ -38,7 +38,10 @@
 	Probed  = "probed"  // host: PING or STATS
 	Fault   = "fault"   // any: a fault began or ended
 	Told    = "told"    // discovery: a watch or a list was written; note is the revision
-	Turned  = "turned"  // discovery: a call that failed
+	Turned  = "turned"  // discovery: a call that failed, and why
+	Asked   = "asked"   // discovery: a call has come; note is what it asks
+	Heard   = "heard"   // client: an answer has come; note is the answer
+	Dialled = "dialled" // link: a connection has come; note says where it was refused
 	In      = "in"      // front: a node is dealt clients
 	Out     = "out"     // front: a node is dealt none any more
 )
--- a/internal/stand/link.go
+++ b/internal/stand/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,32 +30,56 @@
 // Link is a relay before one target, that fails by command. Where bytes were dropped into silence the connection is
 // reset when the silence ends, as a machine that is back resets what it does not know.
 type Link struct {
-	target string
+	target string // "unix:PATH", or host and port
 	l      net.Listener
 	wg     sync.WaitGroup
+	name   string
+	ledger *Ledger
 
 	mu     sync.Mutex
 	ways   [2]LinkState
 	turned chan struct{} // closed and made anew with each command
 	conns  map[net.Conn]bool
 	lost   [2]map[net.Conn]bool // those of which a way dropped bytes
+	refuse bool
 	closed bool
 }
 
 // NewLink starts a link to target.
-func NewLink(target string) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewLink(target string) (*Link, error) { return NewLinkAt("127.0.0.1:0", target, "", nil) }
+
+// NewLinkAt starts a link that listens at an address, both "unix:PATH" or host and port. Each connection that comes is
+// noted in the ledger under the link's name; nil for none.
+func NewLinkAt(listen, target, name string, ledger *Ledger) (*Link, error) {
+	kind, at := network(listen)
+	l, err := net.Listen(kind, at)
 	if err != nil {
 		return nil, err
 	}
-	k := &Link{target: target, l: l, turned: make(chan struct{}), conns: map[net.Conn]bool{},
+	k := &Link{target: target, l: l, name: name, ledger: ledger, turned: make(chan struct{}), conns: map[net.Conn]bool{},
 		lost: [2]map[net.Conn]bool{{}, {}}}
 	k.wg.Go(k.serve)
 	return k, nil
 }
 
+// network splits an address as package net wants it.
+func network(addr string) (kind, at string) {
+	if path, ok := strings.CutPrefix(addr, "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", addr
+}
+
 // Addr is where it listens.
-func (k *Link) Addr() string { return k.l.Addr().String() }
+func (k *Link) Addr() string {
+	if k.l.Addr().Network() == "unix" {
+		return "unix:" + k.l.Addr().String()
+	}
+	return k.l.Addr().String()
+}
+
+// Name is what its ledger calls it.
+func (k *Link) Name() string { return k.name }
 
 // Set changes what the link does to the ways given.
 func (k *Link) Set(w Way, change func(*LinkState)) {
@@ -87,6 +112,13 @@
 // Limit lets so many bytes a second through each way; 0 for any number.
 func (k *Link) Limit(bytes int64) { k.Set(BothWays, func(s *LinkState) { s.Rate = bytes }) }
 
+// Refuse resets whoever comes, or ends that. What stands goes on.
+func (k *Link) Refuse(on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refuse = on
+}
+
 // Reset resets all connections that stand.
 func (k *Link) Reset() {
 	k.mu.Lock()
@@ -108,8 +140,11 @@
 	k.wg.Wait()
 }
 
+// reset ends a connection as a machine does that does not know it; a Unix socket has but one end.
 func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
 	_ = c.Close()
 }
 
@@ -130,10 +165,11 @@
 func (k *Link) hold(c net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.closed {
+	ok := !k.closed && !k.refuse
+	if ok {
 		k.conns[c] = true
 	}
-	return !k.closed
+	return ok
 }
 
 func (k *Link) drop(c net.Conn) {
@@ -155,12 +191,15 @@
 
 // carry is one connection's life.
 func (k *Link) carry(c net.Conn) {
-	if !k.hold(c) {
+	ok := k.hold(c)
+	k.ledger.Add(Record{Who: k.name, What: Dialled, Note: map[bool]string{true: "", false: "refused"}[ok]})
+	if !ok {
 		reset(c)
 		return
 	}
 	defer k.drop(c)
-	t, err := net.Dial("tcp", k.target)
+	kind, at := network(k.target)
+	t, err := net.Dial(kind, at)
 	if err != nil || !k.hold(t) {
 		reset(c)
 		return
@@ -241,7 +280,7 @@
 		reset(a)
 		reset(b)
 	default:
-		_ = b.(*net.TCPConn).CloseWrite()
+		_ = b.(interface{ CloseWrite() error }).CloseWrite()
 	}
 }
 
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // The most that one answer of discovery may have of a thing before it counts as endless.
@@ -14,8 +15,12 @@
 	mostLine = 8 << 20 // a list of some 50,000 hosts
 )
 
-// StatusError is an answer other than 200.
-type StatusError struct{ Code int }
+// StatusError is an answer other than 200. After is when the caller may come again by the answer's Retry-After, 0 where
+// it says nothing that can be used.
+type StatusError struct {
+	Code  int
+	After time.Duration
+}
 
 func (e *StatusError) Error() string { return "discovery answered " + strconv.Itoa(e.Code) }
 
@@ -83,12 +88,43 @@
 		line := strings.TrimRight(string(s.text), "\r\n")
 		s.text = s.text[:0]
 		if err := s.line(line); err != nil {
+			var status *StatusError
+			if errors.As(err, &status) {
+				status.After = retryAfter(b)
+			}
 			return err
 		}
 	}
 	return nil
 }
 
+// mostAfter bounds what a Retry-After is taken for: figures past it would overflow a time.
+const mostAfter = 24 * time.Hour
+
+// retryAfter reads the header of that name, in whole seconds, out of the lines that have come behind a status line. They
+// come in one piece as a rule; to wait for the rest of a refusal's head would keep the connection of one that is silent.
+// Dates are not read: the clocks of the two sides may differ by an hour.
+func retryAfter(head []byte) time.Duration {
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if !bytes.EqualFold(name, []byte("retry-after")) {
+			continue
+		}
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
+		if errors.Is(err, strconv.ErrRange) || err == nil && n > uint64(mostAfter/time.Second) {
+			return mostAfter
+		} else if err != nil {
+			return 0
+		}
+		return time.Duration(n) * time.Second
+	}
+	return 0
+}
+
 // line takes one line of the framing.
 func (s *Stream) line(line string) error {
 	switch s.state {
@@ -102,7 +138,7 @@
 			return errors.New("discovery's answer has no status")
 		}
 		if code != 200 {
-			return &StatusError{code}
+			return &StatusError{Code: code}
 		}
 		s.state, s.left = inHead, -1
 	case inHead:
