A node's cold start: paced calls to the list service, lists passed on and kept

To blame: brain's repeats end at a quarter of askWithin, and nothing that one node learns reaches another. Change: internal/coldstart (pure) decides when this node asks and what of others it believes; [coldstart] in the node's own file turns it on. Nodes pass lists on over the control listener (GET /v1/list, a call that waits), with the service that told it, its revision and its age counted from before the question; a folder keeps it, checksummed. A passed-on list never goes back, lifts no drain, and takes no place of the service's own word. Without [coldstart] nothing changes: n.start is nil.

--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"onyxstream/internal/coldstart"
 	"onyxstream/internal/control"
 	"onyxstream/internal/fleet"
 )
@@ -69,7 +70,7 @@
 
 func listed(out io.Writer, views []fleet.View) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "NAME\tZONE\tREACH\tSTATE\tOPEN\tOWED\tHEARD\tOPERATION\tWHY")
+	fmt.Fprintln(w, "NAME\tZONE\tREACH\tSTATE\tLIST\tOPEN\tOWED\tHEARD\tOPERATION\tWHY")
 	for _, v := range views {
 		state, open, owed := v.Status.State, strconv.FormatInt(v.Status.Open, 10), strconv.FormatInt(v.Status.Owed, 10)
 		if v.Status.Boot == "" {
@@ -79,11 +80,25 @@
 		if op == "" {
 			op = "-"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.1fs ago\t%s\t%s\n", v.Name, v.Zone, v.Reach, state, open, owed, float64(v.AgeMS)/1000, op, v.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.1fs ago\t%s\t%s\n", v.Name, v.Zone, v.Reach, state, listState(v), open, owed, float64(v.AgeMS)/1000, op, v.Why)
 	}
 	return w.Flush()
 }
 
+// listState says which part of its cold start an instance is in: what list it holds, from where, and how old.
+func listState(v fleet.View) string {
+	l := v.Status.List
+	switch {
+	case v.Status.Boot == "" || l == nil:
+		return "-"
+	case l.Source == "":
+		return fmt.Sprintf("none, %d calls", l.Calls)
+	case l.Age >= coldstart.MostAge.Seconds():
+		return fmt.Sprintf("%s (%s, age unknown)", l.State, l.Source)
+	}
+	return fmt.Sprintf("%s (%s, %.1fs)", l.State, l.Source, l.Age)
+}
+
 func instancesCheck(a *asking) *cobra.Command {
 	s := &selecting{}
 	c := &cobra.Command{Use: "check [NAME...]", Short: "Say which instances are not well; exit with 7 where any is not",
--- /dev/null
+++ b/internal/coldstart/coldstart.go
@@ -0,0 +1,261 @@
+// Package coldstart decides how a node comes to know the list of hosts where hundreds start at once: when this node asks
+// the list service, what it takes from others that were told, and how old what it knows is. It is pure: events and the
+// time come in, on the node's monotonic clock. internal/node, internal/control and internal/lifecycle act for it.
+package coldstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Part is the part of a start that a node is in.
+type Part uint8
+
+// The parts.
+const (
+	Empty   Part = iota // no list is known: nobody can be placed
+	Old                 // a list is known, and nobody has confirmed it within the time that the settings allow
+	Current             // confirmed within that time
+)
+
+// String names a part as operators read it.
+func (p Part) String() string { return [...]string{"none", "old", "current"}[p] }
+
+// Source is where the list that a node holds came from.
+type Source string
+
+// The sources.
+const (
+	Nowhere Source = ""
+	File    Source = "file"    // the configuration's list as it was last held
+	Folder  Source = "folder"  // the node's own lasting folder
+	Peer    Source = "peer"    // another node passed it on
+	Service Source = "service" // the list service told it
+)
+
+// Config is what bounds a start. Times are spans.
+type Config struct {
+	Nodes     int           // how many start together, by the settings
+	Index     int           // of this node among them, from 0
+	AskWithin time.Duration // the longest time between questions to the list, by the settings
+	Peers     bool          // lists are passed on
+	Service   string        // the name that all nodes know the list service by
+}
+
+const (
+	// fewNodes is how many may ask within a twentieth of AskWithin: their calls wait for each other and no harm is done.
+	fewNodes = 25
+	// restTimes is how many times AskWithin a node's calls lie apart that fail, and those of nodes that are told by
+	// others. The service must bear a call of every node in AskWithin, so this is a quarter of that, whatever the size.
+	restTimes = 4
+	// firstAsk is how many nodes, by their index, ask at once for all where lists are passed on.
+	firstAsk = 4
+	// aloneAfter is for how long no other node may have answered before this one counts as alone.
+	aloneAfter = 6 * time.Second
+	// MostAge is the age from which on a list is worth nothing to anyone.
+	MostAge = 24 * time.Hour
+)
+
+// Offer is a list that somebody passes on, without its hosts.
+type Offer struct {
+	Service  string        // that told it first
+	Revision int64         // its number there
+	Age      time.Duration // since the service last told or confirmed it
+	Hosts    int
+}
+
+// Start is the memory of one node's start.
+type Start struct {
+	cfg Config
+	rng *rand.Rand
+
+	source    Source
+	revision  int64
+	confirmed time.Duration // when the service last told or confirmed what is held
+	known     bool          // there is a list
+
+	out    bool          // a call is under way, or its watch stands
+	told   bool          // and has brought the list
+	due    time.Duration // when the next call goes out, once planned
+	plan   bool          // due means something
+	must   bool          // a call is to be made, whatever others tell
+	rest   time.Duration // what calls lie apart since they fail; 0 while they don't
+	not    time.Duration // no call before, by the service's own word
+	heard  time.Duration // when another node last answered
+	begun  time.Duration
+	calls  int
+	failed int
+}
+
+// New begins a start. held says what is known already: its source is Nowhere where nothing is.
+func New(cfg Config, rng *rand.Rand, now time.Duration, source Source, held Offer) *Start {
+	s := &Start{cfg: cfg, rng: rng, begun: now, heard: now}
+	if source != Nowhere && held.Hosts > 0 {
+		s.known, s.source, s.revision, s.confirmed = true, source, held.Revision, now-held.Age
+	}
+	return s
+}
+
+// Due reports whether a call to the service goes out now. It is asked often; a call that it lets go is ended by Failed, or
+// goes on for as long as its watch stands.
+func (s *Start) Due(now time.Duration) bool {
+	if s.out {
+		return false
+	}
+	if s.source == Peer && s.age(now) < s.freshFor() && !s.must {
+		s.plan = false // somebody else asks for this node
+		return false
+	}
+	if !s.plan {
+		s.plan, s.due = true, max(now, s.not)+s.jitter(s.span(now))
+	}
+	// Others that fall silent leave the node to itself: what was planned for one of many may be far off.
+	if alone := max(now, s.not) + s.span(now); s.due > alone {
+		s.due = alone - s.jitter(s.span(now)/2)
+	}
+	if now < s.due || now < s.not {
+		return false
+	}
+	s.plan, s.must, s.out, s.told = false, false, true, false
+	s.calls++
+	return true
+}
+
+// span is the time over which the nodes that would call the service spread their calls.
+func (s *Start) span(now time.Duration) time.Duration {
+	if s.rest > 0 {
+		return s.rest
+	}
+	size := float64(s.cfg.Nodes) / fewNodes
+	if s.cfg.Peers && s.calls == 0 && s.cfg.Index < firstAsk {
+		return s.cfg.AskWithin / 100
+	}
+	if s.cfg.Peers && now-s.heard < aloneAfter { // the first that is told tells the others
+		return s.least(time.Duration(float64(restTimes*s.cfg.AskWithin) * min(1, size/8)))
+	}
+	// Half of the time allowed is twice as fast as the service must bear, and leaves the other half for a repeat.
+	return s.least(time.Duration(float64(s.cfg.AskWithin/2) * min(1, size/2-0.5)))
+}
+
+func (s *Start) least(d time.Duration) time.Duration { return max(d, s.cfg.AskWithin/20) }
+
+func (s *Start) jitter(span time.Duration) time.Duration {
+	return time.Duration(s.rng.Float64() * float64(span))
+}
+
+// Failed says that a call ended, or its watch broke, and when the service said to come again: 0 for nothing. What it says
+// is believed up to the rest that a node takes by itself: a word of an hour would leave the node blind for as long.
+func (s *Start) Failed(now time.Duration, after time.Duration) {
+	s.out = false
+	s.failed++
+	if s.told { // a watch that broke: the service was well until now
+		s.rest, s.told = 0, false
+	} else {
+		s.rest = min(max(2*s.rest, s.span(now)), restTimes*s.cfg.AskWithin)
+	}
+	s.not = now + min(max(after, 0), restTimes*s.cfg.AskWithin)
+	// Those who failed together must not come again together, nor at once: the first half of the rest is kept.
+	s.plan, s.due = true, max(s.not, now+s.rest/2)+s.jitter(s.span(now))
+}
+
+// Told says that the service told a list, or confirmed the one that is held.
+func (s *Start) Told(now time.Duration, revision int64, hosts int) {
+	s.known = s.known || hosts > 0
+	s.source, s.revision, s.confirmed = Service, revision, now
+	s.told, s.rest, s.not = true, 0, 0
+}
+
+// Beat says that the watch stands: what is held is confirmed.
+func (s *Start) Beat(now time.Duration) {
+	if s.out && s.told {
+		s.confirmed = now
+	}
+}
+
+// Follow says that another service is asked from now on, which knows no revision of the old one.
+func (s *Start) Follow(now time.Duration, service string) {
+	s.cfg.Service, s.revision = service, -1
+	s.out, s.told, s.plan, s.rest, s.not = false, false, false, 0, 0
+	if s.source != Nowhere {
+		s.source = File // what is held is of another service: nobody confirms it
+	}
+}
+
+// Doubt has the node ask the service itself, whoever else tells it.
+func (s *Start) Doubt(now time.Duration) {
+	if !s.out && !s.must {
+		s.must, s.plan, s.due = true, true, max(now, s.not)+s.jitter(s.span(now))
+	}
+}
+
+// Heard says that another node answered, whatever it had to tell.
+func (s *Start) Heard(now time.Duration) { s.heard = max(s.heard, now) }
+
+// Verdict is what becomes of an offer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Pass    Verdict = iota // it is of no use here
+	Confirm                // what is held is no older than that
+	Take                   // it is newer than what is held
+)
+
+// Offered judges a list that another node passed on. It never goes back behind what is held, and never takes the place of
+// what the service itself tells. The reason is for the log.
+func (s *Start) Offered(now time.Duration, o Offer) (v Verdict, why string) {
+	at := now - max(o.Age, 0)
+	switch {
+	case o.Service != s.cfg.Service:
+		return Pass, fmt.Sprintf("it is of the service %q, this node asks %q", o.Service, s.cfg.Service)
+	case o.Age > MostAge:
+		return Pass, fmt.Sprintf("it is %s old", o.Age.Round(time.Second))
+	case o.Hosts == 0:
+		return Pass, "it has no hosts"
+	case s.out && s.told:
+		return Pass, "this node is told by the service itself"
+	case s.known && o.Revision < s.revision:
+		return Pass, fmt.Sprintf("its revision %d is behind %d", o.Revision, s.revision)
+	case s.known && o.Revision == s.revision:
+		if at > s.confirmed {
+			s.confirmed, s.source = at, Peer
+			return Confirm, ""
+		}
+		return Pass, "it is older than what is held"
+	}
+	s.known, s.source, s.revision, s.confirmed = true, Peer, o.Revision, at
+	return Take, ""
+}
+
+// freshFor is how old what others told may be before the node asks for itself.
+func (s *Start) freshFor() time.Duration { return s.cfg.AskWithin * 3 / 5 }
+
+func (s *Start) age(now time.Duration) time.Duration { return max(now-s.confirmed, 0) }
+
+// State is how a node's start stands.
+type State struct {
+	Part     Part
+	Source   Source
+	Revision int64
+	Age      time.Duration // of what is held; 0 where nothing is
+	Calls    int           // to the service so far, and how many of them failed or broke
+	Failed   int
+	Next     time.Duration // until the next call; 0 where none is planned
+}
+
+// State tells how the start stands.
+func (s *Start) State(now time.Duration) State {
+	st := State{Source: s.source, Revision: s.revision, Calls: s.calls, Failed: s.failed}
+	if s.plan {
+		st.Next = max(s.due-now, 0)
+	}
+	if !s.known {
+		return st
+	}
+	st.Part, st.Age = Old, s.age(now)
+	if (s.source == Service || s.source == Peer) && st.Age <= s.cfg.AskWithin {
+		st.Part = Current
+	}
+	return st
+}
--- /dev/null
+++ b/internal/coldstart/kept.go
@@ -0,0 +1,77 @@
+package coldstart
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"onyxstream/internal/wire"
+)
+
+// Kept is a list as it lies in a node's lasting folder.
+type Kept struct {
+	Service   string       `json:"service"`      // that told it
+	Confirmed int64        `json:"confirmed_ms"` // Unix time at which the service last told or confirmed it
+	List      wire.Catalog `json:"list"`
+}
+
+// format is the first word of a document and its version. A later version has another word: it is refused, not guessed at.
+const format = "onyxstream-list-1"
+
+// mostKept bounds a document: a list of some 50,000 hosts.
+const mostKept = 16 << 20
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Encode writes a document: a line with the format, the length and the checksum of what follows, and the list.
+func (k Kept) Encode() ([]byte, error) {
+	body, err := json.Marshal(k)
+	if err != nil {
+		return nil, err
+	}
+	return append(fmt.Appendf(nil, "%s %d %08x\n", format, len(body), crc32.Checksum(body, table)), body...), nil
+}
+
+// Why a document is not taken.
+var (
+	ErrFormat  = errors.New("it is no list of this program, or of another version")
+	ErrBroken  = errors.New("it is cut short or changed: its checksum does not fit")
+	ErrForeign = errors.New("it is of another list service")
+	ErrOld     = fmt.Errorf("it is over %s old", MostAge)
+)
+
+// Decode reads a document that is to be of a service, at a wall time. The age counts from when the service last confirmed
+// the list; one from the future, by a clock that went back, counts as old as any that is taken.
+func Decode(text []byte, service string, now time.Time) (list wire.Catalog, age time.Duration, err error) {
+	head, body, ok := bytes.Cut(text, []byte("\n"))
+	var word string
+	var size int
+	var sum uint32
+	if n, _ := fmt.Sscanf(string(head), "%s %d %x", &word, &size, &sum); !ok || n != 3 || word != format || len(text) > mostKept {
+		return list, 0, ErrFormat
+	}
+	if len(body) != size || crc32.Checksum(body, table) != sum {
+		return list, 0, ErrBroken
+	}
+	var k Kept
+	if err := json.Unmarshal(body, &k); err != nil {
+		return list, 0, fmt.Errorf("%w: %w", ErrFormat, err)
+	}
+	if k.Service != service {
+		return list, 0, fmt.Errorf("%w: of %q, this node asks %q", ErrForeign, k.Service, service)
+	}
+	if err := k.List.Check(); err != nil {
+		return list, 0, err
+	}
+	age = now.Sub(time.UnixMilli(k.Confirmed))
+	if age > MostAge {
+		return list, age, ErrOld
+	} else if age < 0 {
+		age = MostAge
+	}
+	k.List.Complete = true
+	return k.List, age, nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -102,6 +102,16 @@
 	Open  int    `json:"open"`  // connections of this instance there
 }
 
+// ListStatus is how an instance came to its list of hosts, where its cold start is on.
+type ListStatus struct {
+	State  string  `json:"state"`            // none, old or current
+	Source string  `json:"source,omitempty"` // file, folder, peer or service
+	Age    float64 `json:"age_s"`            // since the service told or confirmed it
+	Calls  int     `json:"calls"`            // to the service, and how many of them failed or broke
+	Failed int     `json:"failed"`
+	Next   float64 `json:"next_call_s"` // until the next call, 0 where none is planned
+}
+
 // Status is how an instance is.
 type Status struct {
 	Name      string       `json:"name"`
@@ -113,6 +123,7 @@
 	Open      int64        `json:"open"` // connections that stand
 	Up        float64      `json:"up_s"`
 	Revision  int64        `json:"revision"` // of the list of hosts
+	List      *ListStatus  `json:"list,omitempty"`
 	Hosts     []HostStatus `json:"hosts,omitempty"`
 	Serial    uint64       `json:"serial"` // counts changes, for those who follow them
 }
--- /dev/null
+++ b/internal/control/list.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"onyxstream/internal/wire"
+)
+
+// Passed is the list of hosts as one instance passes it on to another.
+type Passed struct {
+	Service  string        `json:"service"` // that told it first, by the name that all instances know it by
+	Age      time.Duration `json:"age_ns"`  // since the service last told or confirmed it, as of the answer
+	Waited   time.Duration `json:"waited_ns"`
+	Revision int64         `json:"revision"`
+	List     *wire.Catalog `json:"list,omitempty"` // nil where the asker's revision is this one
+}
+
+// Holding is the list that an instance holds now.
+type Holding struct {
+	Service   string
+	List      wire.Catalog // complete; never changed once it is held
+	Confirmed time.Time    // when the service last told or confirmed it
+	Fresh     chan struct{}
+}
+
+// Lister is an instance that passes its list on. Holding returns nil where it has none; Fresh of what it returns is closed
+// once there is another, and Empty once there is a first one.
+type Lister interface {
+	Holding() *Holding
+	Empty() <-chan struct{}
+}
+
+const (
+	// mostAskers bounds the calls for the list that wait at one time; those past it are turned away, so that the
+	// agent's calls find a connection.
+	mostAskers = 32
+	mostAsk    = 10 * time.Second // the longest that such a call may wait
+	// fresher is how much younger than the asker's what is held must be to be worth an answer before the asked time.
+	fresher = 500 * time.Millisecond
+)
+
+// list answers a call for the list: at once where what is held is newer than the asker's, else when it is, or when the
+// asked time is over. An asker that knows the revision is told its age alone.
+func (s *Server) list(w http.ResponseWriter, q *http.Request) {
+	l, ok := s.instance.(Lister)
+	if !ok {
+		Fail(w, http.StatusNotFound, errors.New("this instance passes no list on"))
+		return
+	}
+	select {
+	case s.askers <- struct{}{}:
+		defer func() { <-s.askers }()
+	default:
+		Fail(w, http.StatusServiceUnavailable, fmt.Errorf("%d calls for the list wait, no more can", mostAskers))
+		return
+	}
+	began := time.Now()
+	after, age, within, err := asked(q.URL.Query())
+	if err != nil {
+		Fail(w, http.StatusBadRequest, err)
+		return
+	}
+	late := time.NewTimer(within)
+	defer late.Stop()
+	for {
+		empty := l.Empty() // before Holding: what comes between the two is not missed
+		h := l.Holding()
+		now := time.Now()
+		over := now.Sub(began) >= within
+		changed := empty
+		if h != nil {
+			ahead := now.Sub(began) + age - now.Sub(h.Confirmed) // by how much the asker's is older by now
+			if h.List.Revision > after || over || ahead >= fresher && h.List.Revision == after {
+				s.pass(w, h, after, began)
+				return
+			}
+			changed = h.Fresh
+		} else if over {
+			Fail(w, http.StatusNotFound, errors.New("this instance has no list yet"))
+			return
+		}
+		select {
+		case <-q.Context().Done():
+			return
+		case <-changed:
+		case <-late.C:
+		}
+	}
+}
+
+func (s *Server) pass(w http.ResponseWriter, h *Holding, after int64, began time.Time) {
+	now := time.Now()
+	p := Passed{Service: h.Service, Age: now.Sub(h.Confirmed), Waited: now.Sub(began), Revision: h.List.Revision}
+	if h.List.Revision != after {
+		p.List = &h.List
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(bodyWithin))
+	Reply(w, p)
+}
+
+// asked reads what an asker holds, and how long it waits.
+func asked(q url.Values) (after int64, age, within time.Duration, err error) {
+	if after, err = strconv.ParseInt(q.Get("after"), 10, 64); err != nil {
+		return 0, 0, 0, fmt.Errorf("after: %q is no revision", q.Get("after"))
+	}
+	for _, f := range []struct {
+		name string
+		into *time.Duration
+		most time.Duration
+	}{{"age_ms", &age, mostWithin}, {"within_ms", &within, mostAsk}} {
+		ms, err := strconv.ParseInt(q.Get(f.name), 10, 64)
+		if err != nil || ms < 0 || ms > f.most.Milliseconds() {
+			return 0, 0, 0, fmt.Errorf("%s: %q is not between 0 and %d", f.name, q.Get(f.name), f.most.Milliseconds())
+		}
+		*f.into = time.Duration(ms) * time.Millisecond
+	}
+	return after, age, within, nil
+}
+
+// List asks an instance for its list: it answers as soon as it holds one that is newer than the revision given, or younger
+// than age, and after within at the latest. The time at which the answer was true comes with it, as early as it can have
+// been: an answer that lay unread counts as old as it is.
+func (c *Client) List(ctx context.Context, after int64, age, within time.Duration) (p Passed, at time.Time, err error) {
+	began := time.Now()
+	path := fmt.Sprintf("/v1/list?after=%d&age_ms=%d&within_ms=%d", after, min(age, mostWithin).Milliseconds(), within.Milliseconds())
+	if err = c.Call(ctx, http.MethodGet, path, nil, &p); err != nil {
+		return p, began, err
+	}
+	if p.Age < 0 || p.Waited < 0 || p.Waited > time.Since(began) {
+		return p, began, errors.New("the answer's times can't be true")
+	}
+	if p.List != nil {
+		if err := p.List.Check(); err != nil {
+			return p, began, fmt.Errorf("the list that was passed on: %w", err)
+		}
+		p.List.Complete, p.List.Revision = true, p.Revision
+	}
+	return p, began.Add(p.Waited), nil
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,11 +55,13 @@
 	mu       sync.Mutex // a command is taken and carried out before the next
 	register *Register
 	watches  chan struct{}
+	askers   chan struct{} // calls for the list that wait
 }
 
 // NewServer makes a server for an instance's start.
 func NewServer(instance Instance, boot string, log *zap.Logger) *Server {
-	return &Server{instance: instance, log: log, boot: boot, register: NewRegister(boot), watches: make(chan struct{}, mostWatches)}
+	return &Server{instance: instance, log: log, boot: boot, register: NewRegister(boot), watches: make(chan struct{}, mostWatches),
+		askers: make(chan struct{}, mostAskers)}
 }
 
 // Listener is one place where the server listens, and what peers there may do.
@@ -142,6 +144,7 @@
 	}
 	mux.HandleFunc("GET /v1/status", guarded(Look, func(w http.ResponseWriter, _ *http.Request) { Reply(w, s.status()) }))
 	mux.HandleFunc("GET /v1/watch", guarded(Look, s.watch))
+	mux.HandleFunc("GET /v1/list", guarded(Look, s.list))
 	mux.HandleFunc("POST /v1/command", guarded(Operate, s.command))
 	return mux
 }
--- a/internal/driver/discovery.go
+++ b/internal/driver/discovery.go
@@ -94,7 +94,12 @@
 				err := y.follow(on, c)
 				if on.Err() == nil {
 					y.log.Info("the watch of the list ended", zap.String("discovery", c.Addr), zap.Error(err))
-					y.node.WatchFailed(c.N)
+					var refused *wire.StatusError
+					if errors.As(err, &refused) {
+						y.node.WatchFailed(c.N, refused.After)
+						return
+					}
+					y.node.WatchFailed(c.N, 0)
 				}
 			}(now)
 		}
@@ -190,6 +195,7 @@
 		}
 		for line, ok := s.Next(); ok; line, ok = s.Next() {
 			if len(line) == 0 {
+				y.node.Beat(call.N)
 				continue
 			}
 			list, err := wire.ParseCatalog(line)
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -21,7 +21,8 @@
 
 // Own is the project's own configuration file (TOML), beside the platform's: what stands in it is off without it.
 type Own struct {
-	Control Control `toml:"control"`
+	Control   Control    `toml:"control"`
+	ColdStart *ColdStart `toml:"coldstart"`
 }
 
 // Control says where a node is told and asked by operators.
@@ -40,6 +41,9 @@
 
 // Check says what is wrong.
 func (o *Own) Check() error {
+	if err := o.ColdStart.check(); err != nil {
+		return err
+	}
 	c := &o.Control
 	if c.Listen == "" {
 		return nil
@@ -121,12 +125,28 @@
 		s.State = control.Draining
 	}
 	states := map[brain.ServerState]string{brain.Live: "live", brain.Draining: "draining", brain.Gone: "gone"}
+	if st, ok := c.node.Start(); ok {
+		s.List = &control.ListStatus{State: st.Part.String(), Source: string(st.Source), Age: st.Age.Seconds(), Calls: st.Calls,
+			Failed: st.Failed, Next: st.Next.Seconds()}
+	}
 	for _, h := range v.Hosts {
 		s.Hosts = append(s.Hosts, control.HostStatus{ID: string(h.ID), State: states[h.State], Word: h.Word, Open: h.Open})
 	}
 	return s
 }
 
+// Holding is the list that the node passes on; nil for none.
+func (c *controlled) Holding() *control.Holding {
+	h := c.node.Holding()
+	if h == nil {
+		return nil
+	}
+	return &control.Holding{Service: h.Service, List: h.List, Confirmed: h.Confirmed, Fresh: h.Fresh}
+}
+
+// Empty is closed once the node has a list.
+func (c *controlled) Empty() <-chan struct{} { return c.node.Empty() }
+
 // Do carries a command out.
 func (c *controlled) Do(cmd control.Command) error {
 	now := time.Now()
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"onyxstream/brain"
+	"onyxstream/internal/coldstart"
 	"onyxstream/internal/control"
 	"onyxstream/internal/driver"
 	"onyxstream/internal/management"
@@ -57,7 +58,16 @@
 	debug.SetMemoryLimit(heap(cfg.MemoryMB))
 
 	d, y := newDriver(cfg, log), driver.NewDiscovery(log)
-	n := node.New(cfg.Settings, cfg.Known, cfg.Discovery, outside{y, d}, log)
+	cold := own.ColdStart
+	known, service := cfg.Known, ""
+	var start *coldstart.Start
+	if cold != nil {
+		service, known, start = cold.begin(cfg, log)
+	}
+	n := node.New(cfg.Settings, known, cfg.Discovery, outside{y, d}, log)
+	if cold != nil {
+		n.Cold(start, service)
+	}
 	d.Attach(n)
 	y.Attach(n)
 
@@ -98,6 +108,9 @@
 		both.adopt(ctx)
 		return nil
 	})
+	if cold != nil {
+		cold.run(ctx, g, n, cfg.Settings.Settings, log)
+	}
 	if len(asked) > 0 {
 		g.Go(func() error { return orders.Serve(ctx, asked...) })
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -110,7 +110,9 @@
 func (n *Node) pulse(now time.Time) {
 	n.tick++
 	n.tally() // what the module avoids changes with time
-	if !n.set.AskList && !n.watching && now.After(n.watchAt) {
+	if n.start != nil {
+		n.ask()
+	} else if !n.set.AskList && !n.watching && now.After(n.watchAt) {
 		n.watch()
 	}
 	n.moveSome(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"onyxstream/brain"
+	"onyxstream/internal/coldstart"
 	"onyxstream/internal/settings"
 	"onyxstream/internal/wire"
 )
@@ -88,6 +89,7 @@
 	tick     int
 	moveBy   time.Time // all clients are to be gone by then; zero while the node stays
 	orders
+	starting
 
 	owed, open atomic.Int64
 }
@@ -128,6 +130,10 @@
 	evView
 	evFacts
 	evLearn
+	evBeat
+	evPassed
+	evHeard
+	evStart
 )
 
 type event struct {
@@ -150,6 +156,8 @@
 	away    *Away
 	must    bool
 	verdict chan error
+	passed  *Passed
+	state   chan coldstart.State
 }
 
 // New makes a node that knows its settings, the list as it was last held, and where to ask for it.
@@ -157,7 +165,7 @@
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
-		orders:  orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}},
+		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}}, starting: starting{empty: make(chan struct{})},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
@@ -271,8 +279,11 @@
 	n.post(event{kind: evList, call: call, list: c})
 }
 
-// WatchFailed tells that a call to discovery failed, or that its watch broke.
-func (n *Node) WatchFailed(call uint64) { n.post(event{kind: evWatchFailed, call: call}) }
+// WatchFailed tells that a call to discovery failed, or that its watch broke, and when discovery said to come again: 0
+// where it did not say.
+func (n *Node) WatchFailed(call uint64, after time.Duration) {
+	n.post(event{kind: evWatchFailed, call: call, took: after})
+}
 
 // Follow has the list asked for at another address from now on.
 func (n *Node) Follow(addr string) { n.post(event{kind: evFollow, text: addr}) }
@@ -299,7 +310,7 @@
 	defer timer.Stop()
 	ticks := time.NewTicker(tickEvery)
 	defer ticks.Stop()
-	if !n.set.AskList {
+	if !n.set.AskList && n.start == nil {
 		n.watch()
 	}
 	for {
@@ -400,16 +411,27 @@
 		n.list(e.list, kind)
 		if e.call == n.call { // a version of the discovery that was left means nothing to the one that is followed
 			n.revision = e.list.Revision
+			n.told()
 		}
 	case evFollow:
 		// The module hears of it by the list alone: neither the end of the old watch nor a list that is not
 		// there yet is a failure, and what is known of the hosts holds until the new list is there.
 		n.discovery, n.revision = e.text, Whole
+		if n.start != nil {
+			n.service = e.text
+			n.start.Follow(n.now(), e.text)
+			n.ask()
+			return
+		}
 		n.watch()
 	case evWatchFailed:
 		if e.call != n.call { // it was given up for another, which is to tell
 			return
 		}
+		if n.start != nil {
+			n.start.Failed(n.now(), e.took)
+			return
+		}
 		if n.set.AskList {
 			n.decide(brain.ListEvent{Kind: brain.ListFailed, Version: n.revision})
 			return
@@ -427,6 +449,8 @@
 		n.learn(e.facts)
 	case evLeave, evWord, evView:
 		n.order(e)
+	case evBeat, evPassed, evHeard, evStart:
+		n.starts(e)
 	}
 }
 
@@ -527,6 +551,10 @@
 	case brain.Wake:
 		n.timers.add(a.At, a.Token)
 	case brain.Watch:
+		if n.start != nil { // it paces the calls; the module wishes for one
+			n.ask()
+			return
+		}
 		n.watch()
 	case brain.Log:
 		n.log.Info(a.Text)
--- /dev/null
+++ b/internal/node/starting.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/coldstart"
+	"onyxstream/internal/wire"
+)
+
+// A node's cold start, where its own configuration turns it on: package coldstart decides when the list service is called
+// and what of others is believed; here is what carries that out. Without it n.start is nil and the module's own wishes
+// are calls.
+
+// starting is the memory of it.
+type starting struct {
+	start   *coldstart.Start
+	service string // the name that all nodes know the list service by
+	part    coldstart.Part
+	holding atomic.Pointer[Holding]
+	empty   chan struct{} // closed with the first list that is held
+}
+
+// Holding is the list as the node holds it, for whoever passes it on or keeps it. It is never changed.
+type Holding struct {
+	Service   string
+	Source    coldstart.Source
+	List      wire.Catalog  // complete; as the service told it, without the words of this node's operators
+	Confirmed time.Time     // when the service last told or confirmed it
+	Fresh     chan struct{} // closed once another one is held
+}
+
+// Passed is a list that another node passed on, or the word that it has the same one.
+type Passed struct {
+	Offer coldstart.Offer
+	List  *wire.Catalog // nil for the word alone
+	From  string        // who passed it on
+	At    time.Time     // when Offer.Age was true
+}
+
+// Cold turns the cold start on. It is called before Run.
+func (n *Node) Cold(s *coldstart.Start, service string) {
+	n.start, n.service = s, service
+	n.publish(true)
+	n.step()
+}
+
+// Holding is the list that the node holds; nil while it has none, or where its cold start is off. It waits for nothing.
+func (n *Node) Holding() *Holding { return n.holding.Load() }
+
+// Empty is closed once there is a list.
+func (n *Node) Empty() <-chan struct{} { return n.empty }
+
+// Beat tells that discovery said that a watch stands.
+func (n *Node) Beat(call uint64) {
+	if n.start != nil {
+		n.post(event{kind: evBeat, call: call})
+	}
+}
+
+// PassedOn hands over what another node passed on.
+func (n *Node) PassedOn(p Passed) { n.post(event{kind: evPassed, passed: &p}) }
+
+// Heard tells that another node answered though it had nothing to pass on.
+func (n *Node) Heard() { n.post(event{kind: evHeard}) }
+
+// Start tells how the cold start stands; ok is false where it is off, or the loop has ended.
+func (n *Node) Start() (s coldstart.State, ok bool) {
+	if n.start == nil {
+		return s, false
+	}
+	got := make(chan coldstart.State, 1)
+	n.post(event{kind: evStart, state: got})
+	select {
+	case s = <-got:
+		return s, true
+	case <-n.done:
+		return s, false
+	}
+}
+
+// ask calls the service where its time has come.
+func (n *Node) ask() {
+	if n.start.Due(n.now()) {
+		n.watch()
+	}
+	n.step()
+}
+
+// starts takes in the events of a cold start; the loop's own.
+func (n *Node) starts(e event) {
+	if n.start == nil {
+		return
+	}
+	switch e.kind {
+	case evBeat:
+		if e.call == n.call {
+			n.start.Beat(n.now())
+			n.publish(false)
+		}
+	case evHeard:
+		n.start.Heard(n.now())
+	case evStart:
+		e.state <- n.start.State(n.now()) // has room
+	case evPassed:
+		n.start.Heard(n.now())
+		n.offered(*e.passed)
+	}
+	n.step()
+}
+
+// told notes that the service told a list.
+func (n *Node) told() {
+	if n.start == nil {
+		return
+	}
+	n.start.Told(n.now(), n.revision, len(n.listed()))
+	n.publish(true)
+	n.step()
+}
+
+// offered judges what another node passed on, and takes it in.
+func (n *Node) offered(p Passed) {
+	now := n.now()
+	p.Offer.Age += time.Since(p.At)
+	if p.List != nil {
+		p.Offer.Hosts = len(p.List.Members)
+	} else if h := n.holding.Load(); h != nil && h.List.Revision == p.Offer.Revision {
+		p.Offer.Hosts = len(h.List.Members)
+	}
+	verdict, why := n.start.Offered(now, p.Offer)
+	switch verdict {
+	case coldstart.Pass:
+		n.log.Debug("a list that was passed on is of no use", zap.String("from", p.From), zap.String("why", why))
+		return
+	case coldstart.Take:
+		held := n.keepDrains(p.List)
+		n.log.Info("a list was passed on", zap.String("from", p.From), zap.Int64("revision", p.Offer.Revision),
+			zap.Duration("age", p.Offer.Age), zap.Int("hosts", len(p.List.Members)), zap.Int("drains kept", held))
+		n.list(p.List, brain.ListFull)
+		n.revision = p.Offer.Revision
+		if held > 0 { // the service is to say whether they are over
+			n.start.Doubt(now)
+		}
+	}
+	n.publish(verdict == coldstart.Take)
+}
+
+// keepDrains has hosts drain in a list that was passed on which this node was told to drain: only the service itself, or
+// a later start of the host, lifts that. It returns how many.
+func (n *Node) keepDrains(list *wire.Catalog) (held int) {
+	list.Members = slices.Clone(list.Members)
+	for i, e := range list.Members {
+		m := n.members[brain.ServerID(e.ID)]
+		if m != nil && !m.out && m.listed.Phase == wire.Draining && e.Phase == wire.Serving && e.UpSince <= m.since {
+			list.Members[i].Phase = wire.Draining
+			held++
+		}
+	}
+	return held
+}
+
+// listed are the hosts of the list, by id.
+func (n *Node) listed() (all []wire.Member) {
+	for _, m := range n.members {
+		if !m.out {
+			all = append(all, m.listed)
+		}
+	}
+	slices.SortFunc(all, func(a, b wire.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// publish shows what is held to those who pass it on and keep it: with other hosts than before, or only confirmed.
+func (n *Node) publish(changed bool) {
+	now := n.now()
+	s := n.start.State(now)
+	was := n.holding.Load()
+	if s.Part == coldstart.Empty {
+		return
+	}
+	h := &Holding{Service: n.service, Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{})}
+	if was != nil && !changed {
+		h.List = was.List
+	} else {
+		h.List = wire.Catalog{Revision: s.Revision, Complete: true, Members: n.listed()}
+	}
+	n.holding.Store(h)
+	if was != nil {
+		close(was.Fresh)
+	} else {
+		close(n.empty)
+	}
+}
+
+// step notes, once, that the start has come to another part.
+func (n *Node) step() {
+	s := n.start.State(n.now())
+	if s.Part == n.part {
+		return
+	}
+	n.part = s.Part
+	n.log.Info("the start came to another part", zap.Stringer("list", s.Part), zap.String("source", string(s.Source)), zap.Int64("revision", s.Revision),
+		zap.Duration("age", s.Age), zap.Int("calls", s.Calls), zap.Int("failed", s.Failed))
+}
