The rig plays hundreds of nodes, agents, links between any two, and faults on many at once

Processes of both kinds, each with its folder; a link from each node to the list service and to the control listeners of others; faults on ranges (n3..n40) in one instant; a process that loses its folder.

--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -38,16 +40,15 @@
 			if !sleep(ctx, time.Until(begin.Add(x.At.D()))) {
 				return
 			}
-			end, err := r.begin(x)
+			end, err := r.Begin(x)
 			if err != nil {
-				r.fail(fmt.Errorf("%s on %s: %w", x.What, x.On, err))
-				continue
+				r.fail(err)
 			}
-			if x.For > 0 && end != nil {
+			if x.For > 0 {
 				r.wg.Go(func() {
 					if sleep(ctx, time.Until(begin.Add(x.At.D()+x.For.D()))) {
 						if err := end(); err != nil {
-							r.fail(fmt.Errorf("the end of %s on %s: %w", x.What, x.On, err))
+							r.fail(err)
 						}
 					}
 				})
@@ -85,21 +86,53 @@
 	}
 }
 
-// begin starts a fault and returns what ends it; nil where nothing does.
-func (r *Rig) begin(x FaultSpec) (end func() error, err error) {
-	kind, i, err := r.fleet.kindOf(x.On)
+// Begin starts a fault now, on all that it names in one instant, and returns what ends it. At and For mean nothing here.
+// The error says which could not be struck.
+func (r *Rig) Begin(x FaultSpec) (end func() error, err error) {
+	all, err := r.fleet.targets(x.On)
 	if err != nil {
-		return nil, err
+		return func() error { return nil }, err
 	}
-	switch kind {
+	ends, errs := make([]func() error, len(all)), make([]error, len(all))
+	each := func(f func(i int) error) error {
+		var wg sync.WaitGroup
+		for i, t := range all {
+			wg.Go(func() {
+				if err := f(i); err != nil {
+					errs[i] = fmt.Errorf("%s on %s: %w", x.What, t.name, err)
+				}
+			})
+		}
+		wg.Wait()
+		return errors.Join(errs...)
+	}
+	err = each(func(i int) (err error) {
+		ends[i], err = r.begin(x, all[i])
+		return err
+	})
+	return func() error {
+		return each(func(i int) error {
+			if ends[i] == nil {
+				return nil
+			}
+			return ends[i]()
+		})
+	}, err
+}
+
+// begin starts a fault on one thing and returns what ends it; nil where nothing does.
+func (r *Rig) begin(x FaultSpec, t target) (end func() error, err error) {
+	switch t.kind {
 	case "host":
-		return r.hostFault(x, i)
+		return r.hostFault(x, t.index)
 	case "node":
-		return r.nodeFault(x, r.nodes[i])
+		return r.processFault(x, r.nodes[t.index])
+	case "agent":
+		return r.processFault(x, r.agents[t.index])
 	case "discovery":
 		return r.discoveryFault(x), nil
 	case "link":
-		return r.linkFault(x, i), nil
+		return r.linkFault(x, t), nil
 	}
 	r.mark(x.On, "slow")
 	r.store.Slow(x.By)
@@ -173,7 +206,7 @@
 // stopWithin is when a node that was told to stop is killed.
 const stopWithin = 4 * time.Second
 
-func (r *Rig) nodeFault(x FaultSpec, p *process) (func() error, error) {
+func (r *Rig) processFault(x FaultSpec, p *process) (func() error, error) {
 	r.mark(p.name, x.What)
 	back := func() error { r.mark(p.name, "starts"); return p.start() }
 	switch x.What {
@@ -183,6 +216,9 @@
 	case "kill":
 		p.kill()
 		return back, nil
+	case "lose": // as a machine that is replaced: nothing of its folder is left
+		p.kill()
+		return back, p.forget()
 	}
 	ended := make(chan struct{})
 	r.wg.Go(func() {
@@ -209,31 +245,58 @@
 	return func() error { d.Answer(stand.Well); return nil }
 }
 
-func (r *Rig) linkFault(x FaultSpec, i int) func() error {
+// linksOf are the links that a fault on links means.
+func (r *Rig) linksOf(t target) (out []*stand.Link) {
 	r.mu.Lock()
-	k := r.links[i]
-	r.mu.Unlock()
-	r.mark(x.On, x.What)
-	well := func(f func()) func() error {
-		return func() error { f(); r.mark(x.On, "well"); return nil }
+	defer r.mu.Unlock()
+	switch t.of {
+	case "host":
+		return r.links[t.index : t.index+1]
+	case "node":
+		return r.listLinks[t.index : t.index+1]
+	}
+	me := strings.TrimPrefix(strings.TrimPrefix(t.name, "peers-"), "link-")
+	for _, k := range r.between {
+		if from, to, _ := strings.Cut(k.Name(), ">"); from == me || t.of == "peers" && to == me && strings.HasPrefix(from, "n") {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (r *Rig) linkFault(x FaultSpec, t target) func() error {
+	all := r.linksOf(t)
+	r.mark(t.name, x.What)
+	each := func(f func(*stand.Link)) func() {
+		return func() {
+			for _, k := range all {
+				f(k)
+			}
+		}
 	}
+	silent := func(w stand.Way, on bool) func(*stand.Link) {
+		return func(k *stand.Link) { k.Set(w, func(s *stand.LinkState) { s.Silent = on }) }
+	}
+	var begin, end func(*stand.Link)
 	switch x.What {
 	case "silence":
-		k.Silence(true)
-		return well(func() { k.Silence(false) })
-	case "deaf": // one way alone: what the host says does not come back
-		k.Set(stand.Inward, func(s *stand.LinkState) { s.Silent = true })
-		return well(func() { k.Silence(false) })
+		begin, end = silent(stand.BothWays, true), silent(stand.BothWays, false)
+	case "deaf": // one way alone: what the other side says does not come back
+		begin, end = silent(stand.Inward, true), silent(stand.BothWays, false)
+	case "mute": // the other way: what is said does not get there
+		begin, end = silent(stand.Outward, true), silent(stand.BothWays, false)
 	case "stall":
-		k.Stall(true)
-		return well(func() { k.Stall(false) })
+		begin, end = func(k *stand.Link) { k.Stall(true) }, func(k *stand.Link) { k.Stall(false) }
 	case "delay":
-		k.Delay(x.Over.D())
-		return well(func() { k.Delay(0) })
+		begin, end = func(k *stand.Link) { k.Delay(x.Over.D()) }, func(k *stand.Link) { k.Delay(0) }
 	case "limit":
-		k.Limit(int64(x.By))
-		return well(func() { k.Limit(0) })
+		begin, end = func(k *stand.Link) { k.Limit(int64(x.By)) }, func(k *stand.Link) { k.Limit(0) }
+	case "refuse":
+		begin, end = func(k *stand.Link) { k.Refuse(true); k.Reset() }, func(k *stand.Link) { k.Refuse(false) }
+	case "reset":
+		each((*stand.Link).Reset)()
+		return nil
 	}
-	k.Reset()
-	return nil
+	each(begin)()
+	return func() error { each(end)(); r.mark(t.name, "well"); return nil }
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -28,6 +28,27 @@
 	Sockets     int           `toml:"sockets"`
 	Host        Host          `toml:"host"`
 	Store       Store         `toml:"store"`
+	List        List          `toml:"list"`
+	ColdStart   *ColdStart    `toml:"coldstart"` // of the nodes; off without it
+	Agents      int           `toml:"agents"`    // each with all nodes in its inventory, over links of its own
+}
+
+// List is the list service, and what nodes know of the list when they start.
+type List struct {
+	Cost      conf.Duration `toml:"cost"` // of a call; calls are worked through in turn
+	Wait      conf.Duration `toml:"wait"` // a call that has waited so long is turned away; 0 for none is
+	Queue     int           `toml:"queue"`
+	After     string        `toml:"retry_after"` // of what is turned away, word for word
+	Push      bool          `toml:"push"`        // the settings say that the list comes unasked
+	Unknown   bool          `toml:"unknown"`     // nodes start with no list
+	Links     bool          `toml:"links"`       // each node reaches it over a link that can fail
+	AskWithin conf.Duration `toml:"ask_within"`
+}
+
+// ColdStart is what the nodes' own configuration says of their start.
+type ColdStart struct {
+	Folder bool `toml:"folder"` // each has a lasting folder
+	Peers  int  `toml:"peers"`  // how many others each is told of, over links that can fail
 }
 
 // Host is what every stand-in host can do; package capacity says what the figures mean.
@@ -46,6 +67,7 @@
 	Warm   conf.Duration `toml:"warm"`
 	Fall   float64       `toml:"fall"`
 	FallIn conf.Duration `toml:"fall_in"`
+	Fresh  bool          `toml:"fresh"` // all have just started when the fleet does
 }
 
 // Store is the session store that all hosts call with each set-up.
@@ -72,17 +94,21 @@
 
 // faultKinds names what can be broken on what, and whether By and Over mean anything.
 var faultKinds = map[string]map[string]struct{ by, over bool }{
-	"host": {"hang": {}, "slow": {by: true}, "steal": {by: true}, "drain": {over: true}, "die": {}, "add": {}},
-	"node": {"kill": {}, "stop": {}, "stall": {}},
+	"host":  {"hang": {}, "slow": {by: true}, "steal": {by: true}, "drain": {over: true}, "die": {}, "add": {}},
+	"node":  {"kill": {}, "stop": {}, "stall": {}, "lose": {}},
+	"agent": {"kill": {}, "stop": {}, "stall": {}, "lose": {}},
 	"discovery": {"lag": {over: true}, "freeze": {}, "busy": {}, "reset": {}, "mute": {},
 		"restart": {}},
 	"store": {"slow": {by: true}},
-	"link":  {"silence": {}, "stall": {}, "reset": {}, "delay": {over: true}, "limit": {by: true}, "deaf": {}},
+	"link": {"silence": {}, "stall": {}, "reset": {}, "delay": {over: true}, "limit": {by: true}, "deaf": {}, "mute": {},
+		"refuse": {}},
 }
 
 const (
-	mostNodes = 64
-	mostHosts = 1000
+	mostNodes  = 1000
+	mostHosts  = 1000
+	mostAgents = 9
+	mostPeers  = 16 // of a node: each is a link, and a link takes descriptors of the rig
 )
 
 // Check fills in defaults and says what is wrong, as a *conf.FieldError.
@@ -113,6 +139,12 @@
 	if f.Notice == 0 {
 		f.Notice = conf.Duration(500 * time.Millisecond)
 	}
+	if f.List.AskWithin == 0 {
+		f.List.AskWithin = conf.Duration(10 * time.Second)
+	}
+	if f.ColdStart != nil && (f.ColdStart.Peers < 0 || f.ColdStart.Peers > mostPeers || f.ColdStart.Peers >= max(f.Nodes, 1)) {
+		return conf.Wrong("fleet.coldstart.peers", "%d is not between 0 and %d, and under the nodes", f.ColdStart.Peers, mostPeers)
+	}
 	for _, b := range []struct {
 		name        string
 		v, from, to float64
@@ -122,7 +154,9 @@
 		{"sockets", float64(f.Sockets), 64, 1 << 20}, {"notice", f.Notice.D().Seconds(), 0, 600},
 		{"front_notice", f.FrontNotice.D().Seconds(), 0, 600}, {"park", f.Park.D().Seconds(), 0, 600},
 		{"host.uneven", f.Host.Uneven, 0, 0.99}, {"store.latency", f.Store.Latency.D().Seconds(), 0, 600},
-		{"store.rate", f.Store.Rate, 0, 1e9},
+		{"store.rate", f.Store.Rate, 0, 1e9}, {"agents", float64(f.Agents), 0, mostAgents},
+		{"list.cost", f.List.Cost.D().Seconds(), 0, 60}, {"list.wait", f.List.Wait.D().Seconds(), 0, 600},
+		{"list.queue", float64(f.List.Queue), 0, 1e6}, {"list.ask_within", f.List.AskWithin.D().Seconds(), 0.1, 600},
 	} {
 		if !(b.v >= b.from && b.v <= b.to) {
 			return conf.Wrong("fleet."+b.name, "%g is not between %g and %g", b.v, b.from, b.to)
@@ -151,24 +185,54 @@
 		Cold: h.Cold, Warm: h.Warm.D(), Fall: h.Fall, FallIn: h.FallIn.D()}
 }
 
-// kindOf says what a fault is on.
-func (f *Fleet) kindOf(on string) (kind string, index int, err error) {
+// target is one thing that a fault is on.
+type target struct {
+	name  string
+	kind  string // host, node, agent, link, discovery or store
+	of    string // of links, whose: host, node, agent, or peers
+	index int
+}
+
+// targetOf reads a name.
+func (f *Fleet) targetOf(on string) (t target, err error) {
 	if on == "discovery" || on == "store" {
-		return on, 0, nil
+		return target{name: on, kind: on}, nil
 	}
 	for _, k := range []struct {
-		prefix, kind string
-		most         int
-	}{{"link-h", "link", f.Hosts}, {"h", "host", mostHosts}, {"n", "node", f.Nodes}} {
+		prefix, kind, of string
+		most             int
+	}{{"link-h", "link", "host", f.Hosts}, {"link-n", "link", "node", f.Nodes}, {"link-a", "link", "agent", f.Agents},
+		{"peers-n", "link", "peers", f.Nodes}, {"h", "host", "", mostHosts}, {"n", "node", "", f.Nodes}, {"a", "agent", "", f.Agents}} {
 		var n int
 		if rest, ok := strings.CutPrefix(on, k.prefix); ok {
 			if _, err := fmt.Sscanf(rest, "%d", &n); err == nil && on == fmt.Sprint(k.prefix, n) && n >= 1 && n <= k.most {
-				return k.kind, n - 1, nil
+				return target{on, k.kind, k.of, n - 1}, nil
 			}
 		}
 	}
-	return "", 0, fmt.Errorf("%q is neither a host h1 to h%d, a node n1 to n%d, link-h1 and so on, \"discovery\" nor \"store\"",
-		on, f.Hosts, f.Nodes)
+	return t, fmt.Errorf("%q is neither a host h1 to h%d, a node n1 to n%d, an agent, link-h1, link-n1, link-a1, peers-n1 and so on, "+
+		"\"discovery\" nor \"store\"", on, f.Hosts, f.Nodes)
+}
+
+// targets reads the names that a fault is on: one, or several of a kind as in "n3..n40", all struck in one instant.
+func (f *Fleet) targets(on string) (out []target, err error) {
+	first, last, several := strings.Cut(on, "..")
+	a, err := f.targetOf(first)
+	if err != nil || !several {
+		return []target{a}, err
+	}
+	b, err := f.targetOf(last)
+	if err != nil {
+		return nil, err
+	}
+	if a.kind != b.kind || a.of != b.of || b.index < a.index || a.kind == a.name {
+		return nil, fmt.Errorf("%q are not several of one kind", on)
+	}
+	prefix := strings.TrimRight(first, "0123456789")
+	for i := a.index; i <= b.index; i++ {
+		out = append(out, target{fmt.Sprint(prefix, i+1), a.kind, a.of, i})
+	}
+	return out, nil
 }
 
 // CheckFaults says what is wrong with a time line.
@@ -176,34 +240,49 @@
 	hosts := f.Hosts
 	for i, x := range faults {
 		at := fmt.Sprintf("fault[%d].", i)
-		kind, n, err := f.kindOf(x.On)
+		all, err := f.targets(x.On)
 		if err != nil {
 			return conf.Wrong(at+"on", "%w", err)
 		}
-		k, ok := faultKinds[kind][x.What]
-		switch {
-		case !ok:
-			return conf.Wrong(at+"what", "%q can't happen to a %s", x.What, kind)
-		case x.At < 0:
-			return conf.Wrong(at+"at", "%s is negative", x.At.D())
-		case x.For < 0:
-			return conf.Wrong(at+"for", "%s is negative", x.For.D())
-		case k.by && x.By <= 0:
-			return conf.Wrong(at+"by", "%s needs a figure above 0", x.What)
-		case x.Over < 0:
-			return conf.Wrong(at+"over", "%s is negative", x.Over.D())
-		case kind == "link" && !f.Links:
-			return conf.Wrong(at+"on", "fleet.links is off, so there is no link")
-		case x.What == "stall" && kind == "node" && x.For == 0:
-			return conf.Wrong(at+"for", "a node that stalls for ever is killed, not stalled")
-		case kind == "host" && x.What == "add":
-			if n != hosts {
-				return conf.Wrong(at+"on", "the next host to add is h%d", hosts+1)
+		for _, t := range all {
+			if err := f.checkFault(at, x, t, &hosts); err != nil {
+				return err
 			}
-			hosts++
-		case kind == "host" && n >= hosts:
-			return conf.Wrong(at+"on", "there is no h%d by then", n+1)
 		}
 	}
 	return nil
 }
+
+func (f *Fleet) checkFault(at string, x FaultSpec, t target, hosts *int) error {
+	k, ok := faultKinds[t.kind][x.What]
+	off := map[string]string{}
+	for of, on := range map[string]bool{"host": f.Links, "node": f.List.Links, "peers": f.ColdStart != nil && f.ColdStart.Peers > 0} {
+		if !on {
+			off[of] = map[string]string{"host": "fleet.links", "node": "fleet.list.links", "peers": "fleet.coldstart.peers"}[of]
+		}
+	}
+	switch {
+	case !ok:
+		return conf.Wrong(at+"what", "%q can't happen to a %s", x.What, t.kind)
+	case x.At < 0:
+		return conf.Wrong(at+"at", "%s is negative", x.At.D())
+	case x.For < 0:
+		return conf.Wrong(at+"for", "%s is negative", x.For.D())
+	case k.by && x.By <= 0:
+		return conf.Wrong(at+"by", "%s needs a figure above 0", x.What)
+	case x.Over < 0:
+		return conf.Wrong(at+"over", "%s is negative", x.Over.D())
+	case t.kind == "link" && off[t.of] != "":
+		return conf.Wrong(at+"on", "%s is off, so there is no link", off[t.of])
+	case x.What == "stall" && (t.kind == "node" || t.kind == "agent") && x.For == 0:
+		return conf.Wrong(at+"for", "a process that stalls for ever is killed, not stalled")
+	case t.kind == "host" && x.What == "add":
+		if t.index != *hosts {
+			return conf.Wrong(at+"on", "the next host to add is h%d", *hosts+1)
+		}
+		*hosts++
+	case t.kind == "host" && t.index >= *hosts:
+		return conf.Wrong(at+"on", "there is no h%d by then", t.index+1)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/judge.go
@@ -0,0 +1,75 @@
+package rig
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"onyxstream/internal/stand"
+)
+
+// Judges over ledgers: what stand-ins and links saw on the rig's one clock, never what processes say of themselves.
+
+// Times picks the times of records of a kind, of those whose name begins with who, in order.
+func Times(recs []stand.Record, who, what string) (out []time.Duration) {
+	for _, r := range recs {
+		if r.What == what && strings.HasPrefix(r.Who, who) {
+			out = append(out, r.At)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Most is the largest number of times within any span.
+func Most(times []time.Duration, span time.Duration) (most int) {
+	first := 0
+	for i, at := range times {
+		for times[first] <= at-span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Within counts the times from one moment to another, the end left out.
+func Within(times []time.Duration, from, to time.Duration) (n int) {
+	for _, at := range times {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// ListCount is what the list service saw.
+type ListCount struct {
+	Calls  int `json:"calls"`
+	Told   int `json:"told"`   // lists and news, those to watches that stand included
+	Turned int `json:"turned"` // calls that were turned away
+	Most   int `json:"most"`   // calls within 100 ms
+}
+
+// Counted judges the calls to the list service.
+func Counted(recs []stand.Record) ListCount {
+	asked := Times(recs, "discovery", stand.Asked)
+	return ListCount{Calls: len(asked), Told: len(Times(recs, "discovery", stand.Told)), Turned: len(Times(recs, "discovery", stand.Turned)),
+		Most: Most(asked, 100*time.Millisecond)}
+}
+
+// Burst is the largest number of set-ups at one host within a span, and which host that was.
+func Burst(recs []stand.Record, hosts []string, span time.Duration) (most int, host string) {
+	for _, h := range hosts {
+		var times []time.Duration
+		for _, r := range recs {
+			if r.Who == h && r.What == stand.Opened {
+				times = append(times, r.At)
+			}
+		}
+		if n := Most(times, span); n > most {
+			most, host = n, h
+		}
+	}
+	return most, host
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -12,9 +12,11 @@
 	"time"
 )
 
-// process is one node's, over all its starts.
+// process is one node's or agent's, over all its starts.
 type process struct {
 	name, zone, addr, config, program string
+	args                              []string // the kind of process, and its flags
+	folder                            string   // what it may keep over its starts; "" for nothing
 	log                               io.Writer
 
 	mu    sync.Mutex
@@ -28,13 +30,13 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.program, "node")
+	cmd := exec.Command(p.program, p.args...)
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	// A node must not outlive who started it, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("node %s: %w", p.name, err)
+		return fmt.Errorf("%s %s: %w", p.args[0], p.name, err)
 	}
 	done := make(chan struct{})
 	p.cmd, p.done, p.told = cmd, done, false
@@ -49,7 +51,7 @@
 			}
 		}
 		if !p.told {
-			p.err = fmt.Errorf("node %s ended by itself: %v", p.name, err)
+			p.err = fmt.Errorf("%s %s ended by itself: %v", p.args[0], p.name, err)
 		}
 		close(done)
 	}()
@@ -87,6 +89,17 @@
 
 func (p *process) kill() { p.end(syscall.SIGKILL, 10*time.Second) }
 
+// forget empties its folder. It is called between two starts.
+func (p *process) forget() error {
+	if p.folder == "" {
+		return nil
+	}
+	if err := os.RemoveAll(p.folder); err != nil {
+		return err
+	}
+	return os.Mkdir(p.folder, 0o700)
+}
+
 // ended says that a node has ended though nobody told it to.
 func (p *process) ended() error {
 	p.mu.Lock()
@@ -99,6 +112,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.spent
+	if p.cmd == nil {
+		return u
+	}
 	select {
 	case <-p.done:
 		return u
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,7 +10,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"onyxstream/internal/stand"
@@ -34,11 +36,14 @@
 	Discovery *stand.Discovery
 	Front     *stand.Front
 
-	fleet Fleet
-	opt   Options
-	store *stand.SharedStore
-	dir   string
-	nodes []*process
+	fleet     Fleet
+	opt       Options
+	store     *stand.SharedStore
+	dir       string
+	nodes     []*process
+	agents    []*process
+	listLinks []*stand.Link // of each node
+	between   []*stand.Link // of a process to a node's control listener, named "n1>n2" and "a1>n2"
 	faults
 
 	mu     sync.Mutex // guards what grows while it runs
@@ -51,8 +56,24 @@
 // readyWithin is how long nodes may take to answer PING.
 const readyWithin = 30 * time.Second
 
-// Start plays a fleet. What was started is ended again where an error comes.
-func Start(ctx context.Context, f Fleet, opt Options) (r *Rig, err error) {
+// Start plays a fleet and waits until all of its nodes serve. What was started is ended again where an error comes.
+func Start(ctx context.Context, f Fleet, opt Options) (*Rig, error) {
+	r, err := Prepare(f, opt)
+	if err != nil {
+		return nil, err
+	}
+	if err = r.Launch(); err == nil {
+		err = r.Ready(ctx)
+	}
+	if err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// Prepare makes all that processes deal with, and their files, and starts none of them: a test may set the stage first.
+func Prepare(f Fleet, opt Options) (r *Rig, err error) {
 	clock := stand.NewClock()
 	r = &Rig{Clock: clock, Ledger: stand.NewLedger(clock), fleet: f, opt: opt,
 		store: stand.NewStore(capacity.Store{Latency: f.Store.Latency.D(), Rate: f.Store.Rate})}
@@ -63,7 +84,7 @@
 	}()
 	var members []wire.Member
 	for range f.Hosts {
-		h, err := r.addHost(false)
+		h, err := r.addHost(f.Host.Fresh)
 		if err != nil {
 			return nil, err
 		}
@@ -72,33 +93,74 @@
 	if r.Discovery, err = stand.NewDiscovery("", clock, r.Ledger, 1, members...); err != nil {
 		return nil, err
 	}
+	r.Discovery.Bears(stand.Load{Cost: f.List.Cost.D(), Wait: f.List.Wait.D(), Queue: f.List.Queue, After: f.List.After})
 	if r.dir, err = os.MkdirTemp("", "onyxstream-rig"); err != nil {
 		return nil, err
 	}
-	var front []stand.Node
 	for i := range f.Nodes {
-		p, err := r.newProcess(i, members)
-		if err != nil {
+		if err := r.newNode(i); err != nil {
 			return nil, err
 		}
-		r.nodes = append(r.nodes, p)
-		if err := p.start(); err != nil {
+	}
+	if f.ColdStart != nil {
+		for i := range f.Nodes {
+			if err := r.tellPeers(i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i := range f.Agents {
+		if err := r.newAgent(i); err != nil {
 			return nil, err
 		}
+	}
+	known := members
+	if f.List.Unknown {
+		known = nil
+	}
+	return r, r.Knows(1, known...)
+}
+
+// Knows sets the list that nodes know when they start next.
+func (r *Rig) Knows(revision int64, known ...wire.Member) error {
+	for i, p := range r.nodes {
+		if err := r.configure(p, i, wire.Catalog{Revision: revision, Complete: true, Members: known}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Launch starts all processes at once, as far as one machine can.
+func (r *Rig) Launch() error {
+	var front []stand.Node
+	all := append(append([]*process(nil), r.nodes...), r.agents...)
+	errs := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, p := range all {
+		wg.Go(func() { errs[i] = p.start() })
+	}
+	wg.Wait()
+	for _, p := range r.nodes {
 		front = append(front, stand.Node{Name: p.name, Addr: p.addr, Zone: p.zone})
 	}
-	r.Front = stand.NewFront(r.Ledger, f.FrontNotice.D(), front...)
+	r.Front = stand.NewFront(r.Ledger, r.fleet.FrontNotice.D(), front...)
+	return errors.Join(errs...)
+}
+
+// Ready waits until all nodes serve.
+func (r *Rig) Ready(ctx context.Context) error {
 	ready, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
 	if err := r.Front.Ready(ready); err != nil {
-		return nil, fmt.Errorf("the nodes are not ready: %w", errors.Join(err, r.died()))
+		return fmt.Errorf("the nodes are not ready: %w", errors.Join(err, r.died()))
 	}
-	return r, nil
+	return nil
 }
 
 // died says which nodes have ended by themselves.
 func (r *Rig) died() (err error) {
-	for _, p := range r.nodes {
+	for _, p := range append(append([]*process(nil), r.nodes...), r.agents...) {
 		err = errors.Join(err, p.ended())
 	}
 	return err
@@ -126,6 +188,9 @@
 	return h, nil
 }
 
+// Member is a host's entry in the list, at the address where nodes reach it.
+func (r *Rig) Member(h *stand.Host, phase wire.Phase) wire.Member { return r.member(h, phase) }
+
 // member is a host's entry in the list: its link's address where it has one.
 func (r *Rig) member(h *stand.Host, phase wire.Phase) wire.Member {
 	m := h.Member(phase)
@@ -200,37 +265,169 @@
 		cold = 1
 	}
 	return map[string]any{
-		"index": i, "groupSize": max(f.Nodes, 1), "zone": i % len(f.Zones), "zones": f.Zones, "registryMode": "ask",
+		"index": i, "groupSize": max(f.Nodes, 1), "zone": i % len(f.Zones), "zones": f.Zones, "registryMode": map[bool]string{false: "ask", true: "push"}[f.List.Push],
 		"lanes": lanes, "customers": customers,
 		"domain": map[string]any{"mode": f.Mode, "groups": f.Host.Group > 0, "messageAim": messageAim},
 		"limits": map[string]any{"cancel": true, "connectTimeout": 250, "maxAttempts": 5, "maxRetryAfter": 2000,
 			"probes": f.Probes, "retryAfter": true},
-		"rules": map[string]any{"answerSlack": 16, "askWithin": 10000, "coldShare": cold, "fallMultiple": max(f.Host.Fall, 1),
+		"rules": map[string]any{"answerSlack": 16, "askWithin": float64(f.List.AskWithin.D().Milliseconds()), "coldShare": cold, "fallMultiple": max(f.Host.Fall, 1),
 			"overloadFor": float64(f.Host.FallIn.D().Milliseconds()), "stopSendingWithin": 400,
 			"warmWithin": float64(f.Host.Warm.D().Milliseconds())},
 	}
 }
 
-// newProcess writes a node's configuration.
-func (r *Rig) newProcess(i int, known []wire.Member) (*process, error) {
+// newNode makes a node's process, its link to the list service and its folder.
+func (r *Rig) newNode(i int) error {
 	f := r.fleet
-	p := &process{name: fmt.Sprint("n", i+1), zone: f.Zones[i%len(f.Zones)], program: r.opt.Program, log: r.opt.Log}
+	p := &process{name: fmt.Sprint("n", i+1), zone: f.Zones[i%len(f.Zones)], program: r.opt.Program, log: r.opt.Log, args: []string{"node"}}
 	// An address of its own, so that no connection from this machine takes the port while the node restarts.
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, os.Getpid()/64%250, i+1))
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, 4*(os.Getpid()/64%60)+i/250, i%250+1))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	p.addr = l.Addr().String()
 	_ = l.Close()
-	text, err := json.Marshal(map[string]any{"name": p.name, "listen": p.addr, "discovery": r.Discovery.Addr(),
+	p.config = filepath.Join(r.dir, p.name+".json")
+	r.nodes = append(r.nodes, p)
+	if f.List.Links {
+		k, err := stand.NewLinkAt("127.0.0.1:0", r.Discovery.Addr(), p.name+">list", r.Ledger)
+		if err != nil {
+			return err
+		}
+		r.listLinks = append(r.listLinks, k)
+	}
+	if f.ColdStart == nil && f.Agents == 0 {
+		return nil
+	}
+	p.args = append(p.args, "--config", filepath.Join(r.dir, p.name+".toml"))
+	if f.ColdStart != nil && f.ColdStart.Folder {
+		p.folder = filepath.Join(r.dir, p.name)
+		if err := os.Mkdir(p.folder, 0o700); err != nil {
+			return err
+		}
+	}
+	return r.own(p, "")
+}
+
+// socket is where a process's control listener is.
+func (r *Rig) socket(name string) string { return filepath.Join(r.dir, name+".s") }
+
+// own writes a node's own configuration; more follows it.
+func (r *Rig) own(p *process, more string) error {
+	text := fmt.Sprintf("[control]\nsocket = %q\n", r.socket(p.name))
+	if r.fleet.ColdStart != nil {
+		text += fmt.Sprintf("[coldstart]\nservice = \"rig\"\nfolder = %q\n%s", p.folder, more)
+	}
+	return os.WriteFile(filepath.Join(r.dir, p.name+".toml"), []byte(text), 0o600)
+}
+
+// tellPeers names other nodes to a node, the same in each run: the nodes at steps of all sizes round a ring, so that what
+// one knows reaches all in few steps.
+func (r *Rig) tellPeers(i int) error {
+	n, more := len(r.nodes), ""
+	seen := map[int]bool{i: true}
+	for k := 0; len(seen) <= r.fleet.ColdStart.Peers; k++ {
+		j := (i + 1 + k*k*7919%max(n-1, 1)) % n
+		for seen[j] {
+			j = (j + 1) % n
+		}
+		seen[j] = true
+		addr, err := r.link(r.nodes[i], r.nodes[j])
+		if err != nil {
+			return err
+		}
+		more += fmt.Sprintf("[[coldstart.peer]]\nname = %q\naddr = %q\n", r.nodes[j].name, addr)
+	}
+	return r.own(r.nodes[i], more)
+}
+
+// link makes the link between a process and a node's control listener.
+func (r *Rig) link(from, to *process) (addr string, err error) {
+	name := from.name + ">" + to.name
+	k, err := stand.NewLinkAt("unix:"+filepath.Join(r.dir, strings.Replace(name, ">", "-", 1)+".l"), "unix:"+r.socket(to.name), name, r.Ledger)
+	if err != nil {
+		return "", err
+	}
+	r.between = append(r.between, k)
+	return k.Addr(), nil
+}
+
+// newAgent makes an agent's process, with all nodes in its inventory.
+func (r *Rig) newAgent(i int) error {
+	p := &process{name: fmt.Sprint("a", i+1), program: r.opt.Program, log: r.opt.Log, addr: r.socket(fmt.Sprint("a", i+1))}
+	p.folder = filepath.Join(r.dir, p.name)
+	p.args = []string{"agent", "--config", filepath.Join(r.dir, p.name+".toml")}
+	r.agents = append(r.agents, p)
+	inventory := ""
+	for _, to := range r.nodes {
+		addr, err := r.link(p, to)
+		if err != nil {
+			return err
+		}
+		inventory += fmt.Sprintf("[[instance]]\nname = %q\naddr = %q\nzone = %q\n", to.name, addr, to.zone)
+	}
+	if err := os.Mkdir(p.folder, 0o700); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.dir, p.name+"-inventory.toml"), []byte(inventory), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(r.dir, p.name+".toml"), fmt.Appendf(nil, "inventory = %q\nstore = %q\nsocket = %q\n",
+		filepath.Join(r.dir, p.name+"-inventory.toml"), filepath.Join(p.folder, "store"), p.addr), 0o600)
+}
+
+// AgentSocket is where an agent is called, and ControlSocket where a node is, past all links.
+func (r *Rig) AgentSocket(i int) string   { return r.agents[i].addr }
+func (r *Rig) ControlSocket(i int) string { return r.socket(r.nodes[i].name) }
+
+// NodeAddress is where a node's clients connect, whatever the front knows of it.
+func (r *Rig) NodeAddress(i int) string { return r.nodes[i].addr }
+
+// Folder is what a node keeps over its starts; "" for nothing.
+func (r *Rig) Folder(i int) string { return r.nodes[i].folder }
+
+// Follow names another list service in a node's configuration and has it read again.
+func (r *Rig) Follow(i int, addr string) error {
+	p := r.nodes[i]
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		return err
+	}
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(text, &all); err != nil {
+		return err
+	}
+	if all["discovery"], err = json.Marshal(addr); err != nil {
+		return err
+	}
+	if text, err = json.Marshal(all); err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
+// configure writes a node's configuration.
+func (r *Rig) configure(p *process, i int, known wire.Catalog) error {
+	f := r.fleet
+	discovery := r.Discovery.Addr()
+	if f.List.Links {
+		discovery = r.listLinks[i].Addr()
+	}
+	if known.Members == nil {
+		known.Members, known.Revision = []wire.Member{}, 0
+	}
+	text, err := json.Marshal(map[string]any{"name": p.name, "listen": p.addr, "discovery": discovery,
 		"seed":   fmt.Sprintf("%016x", r.opt.Seed+uint64(i)*0x9e3779b97f4a7c15),
 		"limits": map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets},
-		"known":  wire.Catalog{Revision: 1, Complete: true, Members: known}, "settings": r.settings(i)})
+		"known":  known, "settings": r.settings(i)})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p.config = filepath.Join(r.dir, p.name+".json")
-	return p, os.WriteFile(p.config, text, 0o600)
+	return os.WriteFile(p.config, text, 0o600)
 }
 
 // Usage is what the nodes have taken so far, killed ones included.
@@ -264,12 +461,15 @@
 	if r.Front != nil {
 		r.Front.Close()
 	}
-	for _, p := range r.nodes {
-		p.kill()
+	var wg sync.WaitGroup
+	for _, p := range append(append([]*process(nil), r.nodes...), r.agents...) {
+		wg.Go(p.kill)
 	}
-	for _, k := range r.links {
-		k.Close()
+	wg.Wait()
+	for _, k := range append(append(append([]*stand.Link(nil), r.links...), r.listLinks...), r.between...) {
+		wg.Go(k.Close)
 	}
+	wg.Wait()
 	for _, h := range r.hosts {
 		h.Close()
 	}
