--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -93,7 +93,7 @@
 		return "-"
 	case l.Source == "":
 		return fmt.Sprintf("none, %d calls", l.Calls)
-	case l.Age >= coldstart.MostAge.Seconds():
+	case l.Age >= coldstart.UnknownAge.Seconds():
 		return fmt.Sprintf("%s (%s, age unknown)", l.State, l.Source)
 	}
 	return fmt.Sprintf("%s (%s, %.1fs)", l.State, l.Source, l.Age)
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -53,8 +53,12 @@
 	firstAsk = 4
 	// aloneAfter is for how long no other node may have answered before this one counts as alone.
 	aloneAfter = 6 * time.Second
+	// stoodStill is how late a call may be before the process counts as one that did not run meanwhile.
+	stoodStill = time.Second
 	// MostAge is the age from which on a list is worth nothing to anyone.
 	MostAge = 24 * time.Hour
+	// UnknownAge is what a list of unknown age counts as.
+	UnknownAge = MostAge / 2
 )
 
 // Offer is a list that somebody passes on, without its hosts.
@@ -114,6 +118,9 @@
 	if alone := max(now, s.not) + s.span(now); s.due > alone {
 		s.due = alone - s.jitter(s.span(now)/2)
 	}
+	if now > s.due+stoodStill { // with all who were stopped and go on in the same instant
+		s.due = now + s.jitter(s.span(now))
+	}
 	if now < s.due || now < s.not {
 		return false
 	}
@@ -166,11 +173,12 @@
 	s.told, s.rest, s.not = true, 0, 0
 }
 
-// Beat says that the watch stands: what is held is confirmed.
-func (s *Start) Beat(now time.Duration) {
+// Beat says that the watch stands: what is held is confirmed. It reports whether it is.
+func (s *Start) Beat(now time.Duration) bool {
 	if s.out && s.told {
 		s.confirmed = now
 	}
+	return s.out && s.told
 }
 
 // Follow says that another service is asked from now on, which knows no revision of the old one.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -263,7 +263,7 @@
 		now     time.Time
 		err     error
 		age     time.Duration
-	}{{"other", wrote, ErrForeign, 0}, {"s", wrote.Add(MostAge + time.Second), ErrOld, MostAge + time.Second}, {"s", wrote.Add(-time.Hour), nil, MostAge}} {
+	}{{"other", wrote, ErrForeign, 0}, {"s", wrote.Add(MostAge + time.Second), ErrOld, MostAge + time.Second}, {"s", wrote.Add(-time.Hour), nil, UnknownAge}} {
 		if _, age, err := Decode(text, c.service, c.now); !errors.Is(err, c.err) || c.err != ErrForeign && age != c.age {
 			t.Errorf("of %q at %v: age %v, error %v", c.service, c.now, age, err)
 		}
--- a/internal/coldstart/kept.go
+++ b/internal/coldstart/kept.go
@@ -44,7 +44,7 @@
 )
 
 // Decode reads a document that is to be of a service, at a wall time. The age counts from when the service last confirmed
-// the list; one from the future, by a clock that went back, counts as old as any that is taken.
+// the list; that of one from the future, by a clock that went back, is unknown.
 func Decode(text []byte, service string, now time.Time) (list wire.Catalog, age time.Duration, err error) {
 	head, body, ok := bytes.Cut(text, []byte("\n"))
 	var word string
@@ -70,7 +70,7 @@
 	if age > MostAge {
 		return list, age, ErrOld
 	} else if age < 0 {
-		age = MostAge
+		age = UnknownAge
 	}
 	k.List.Complete = true
 	return k.List, age, nil
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -61,6 +61,7 @@
 		return
 	}
 	began := time.Now()
+	service := q.URL.Query().Get("service")
 	after, age, within, err := asked(q.URL.Query())
 	if err != nil {
 		Fail(w, http.StatusBadRequest, err)
@@ -74,6 +75,9 @@
 		now := time.Now()
 		over := now.Sub(began) >= within
 		changed := empty
+		if h != nil && h.Service != service { // of no use to the asker, nor will it be soon
+			changed, h = h.Fresh, nil
+		}
 		if h != nil {
 			ahead := now.Sub(began) + age - now.Sub(h.Confirmed) // by how much the asker's is older by now
 			if h.List.Revision > after || over || ahead >= fresher && h.List.Revision == after {
@@ -82,7 +86,7 @@
 			}
 			changed = h.Fresh
 		} else if over {
-			Fail(w, http.StatusNotFound, errors.New("this instance has no list yet"))
+			Fail(w, http.StatusNotFound, fmt.Errorf("this instance has no list of %q", service))
 			return
 		}
 		select {
@@ -123,12 +127,12 @@
 	return after, age, within, nil
 }
 
-// List asks an instance for its list: it answers as soon as it holds one that is newer than the revision given, or younger
+// List asks an instance for its list of a service: it answers as soon as it holds one that is newer than the revision given, or younger
 // than age, and after within at the latest. The time at which the answer was true comes with it, as early as it can have
 // been: an answer that lay unread counts as old as it is.
-func (c *Client) List(ctx context.Context, after int64, age, within time.Duration) (p Passed, at time.Time, err error) {
+func (c *Client) List(ctx context.Context, service string, after int64, age, within time.Duration) (p Passed, at time.Time, err error) {
 	began := time.Now()
-	path := fmt.Sprintf("/v1/list?after=%d&age_ms=%d&within_ms=%d", after, min(age, mostWithin).Milliseconds(), within.Milliseconds())
+	path := fmt.Sprintf("/v1/list?service=%s&after=%d&age_ms=%d&within_ms=%d", url.QueryEscape(service), after, min(age, mostWithin).Milliseconds(), within.Milliseconds())
 	if err = c.Call(ctx, http.MethodGet, path, nil, &p); err != nil {
 		return p, began, err
 	}
--- a/internal/lifecycle/coldstart.go
+++ b/internal/lifecycle/coldstart.go
@@ -86,7 +86,7 @@
 func (c *ColdStart) begin(cfg Config, log *zap.Logger) (service string, known wire.Catalog, start *coldstart.Start) {
 	service = cmp.Or(c.Service, cfg.Discovery)
 	known = cfg.Known
-	held := coldstart.Offer{Revision: known.Revision, Age: coldstart.MostAge, Hosts: len(known.Members)}
+	held := coldstart.Offer{Revision: known.Revision, Age: coldstart.UnknownAge, Hosts: len(known.Members)}
 	source := coldstart.File
 	if c.Folder != "" {
 		list, age, err := c.read(service)
@@ -210,13 +210,13 @@
 
 // ask makes one call to another node; false where that brought nothing.
 func (c *ColdStart) ask(ctx context.Context, n *node.Node, peer *control.Client, addr string, log *zap.Logger) bool {
-	after, age := int64(-1), time.Duration(0)
-	if h := n.Holding(); h != nil {
+	service, after, age := n.Service(), int64(-1), time.Duration(0)
+	if h := n.Holding(); h != nil && h.Service == service {
 		after, age = h.List.Revision, max(time.Since(h.Confirmed), 0)
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullWithin)
 	defer cancel()
-	p, at, err := peer.List(ctx, after, age, pullFor)
+	p, at, err := peer.List(ctx, service, after, age, pullFor)
 	var refused *control.RemoteError
 	switch {
 	case err == nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -418,7 +418,7 @@
 		// there yet is a failure, and what is known of the hosts holds until the new list is there.
 		n.discovery, n.revision = e.text, Whole
 		if n.start != nil {
-			n.service = e.text
+			n.service.Store(&e.text)
 			n.start.Follow(n.now(), e.text)
 			n.ask()
 			return
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -19,7 +19,7 @@
 // starting is the memory of it.
 type starting struct {
 	start   *coldstart.Start
-	service string // the name that all nodes know the list service by
+	service atomic.Pointer[string] // the name that all nodes know the list service by
 	part    coldstart.Part
 	holding atomic.Pointer[Holding]
 	empty   chan struct{} // closed with the first list that is held
@@ -44,7 +44,8 @@
 
 // Cold turns the cold start on. It is called before Run.
 func (n *Node) Cold(s *coldstart.Start, service string) {
-	n.start, n.service = s, service
+	n.start = s
+	n.service.Store(&service)
 	n.publish(true)
 	n.step()
 }
@@ -52,6 +53,9 @@
 // Holding is the list that the node holds; nil while it has none, or where its cold start is off. It waits for nothing.
 func (n *Node) Holding() *Holding { return n.holding.Load() }
 
+// Service is the name of the list service that the node asks now.
+func (n *Node) Service() string { return *n.service.Load() }
+
 // Empty is closed once there is a list.
 func (n *Node) Empty() <-chan struct{} { return n.empty }
 
@@ -98,8 +102,7 @@
 	}
 	switch e.kind {
 	case evBeat:
-		if e.call == n.call {
-			n.start.Beat(n.now())
+		if e.call == n.call && n.start.Beat(n.now()) {
 			n.publish(false)
 		}
 	case evHeard:
@@ -129,8 +132,8 @@
 	p.Offer.Age += time.Since(p.At)
 	if p.List != nil {
 		p.Offer.Hosts = len(p.List.Members)
-	} else if h := n.holding.Load(); h != nil && h.List.Revision == p.Offer.Revision {
-		p.Offer.Hosts = len(h.List.Members)
+	} else if h := n.holding.Load(); h != nil && h.Service == n.Service() && n.revision == p.Offer.Revision {
+		p.Offer.Hosts = len(h.List.Members) // it says that it has the same; after a change of services that means nothing
 	}
 	verdict, why := n.start.Offered(now, p.Offer)
 	switch verdict {
@@ -188,7 +191,7 @@
 	if s.Part == coldstart.Empty {
 		return
 	}
-	h := &Holding{Service: n.service, Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{})}
+	h := &Holding{Service: n.Service(), Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{})}
 	if was != nil && !changed {
 		h.List = was.List
 	} else {
--- a/internal/rig/coldstart_test.go
+++ b/internal/rig/coldstart_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"onyxstream/internal/conf"
+	"onyxstream/internal/control"
 	"onyxstream/internal/stand"
 )
 
@@ -63,6 +64,25 @@
 	return r
 }
 
+// status asks a node, past all links.
+func (r *Rig) status(t *testing.T, i int) control.Status {
+	t.Helper()
+	c, err := control.Dial("unix:"+r.ControlSocket(i), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	s, _ := c.Status(t.Context()) // one that is not there yet has an empty one
+	return s
+}
+
+// command runs the program's command line at the first agent.
+func (r *Rig) command(t *testing.T, args ...string) string {
+	t.Helper()
+	out, _ := exec.CommandContext(t.Context(), r.opt.Program, append(args, "--agent", r.AgentSocket(0))...).CombinedOutput()
+	return string(out)
+}
+
 // knocks has clients come to all nodes.
 func knocks(ctx context.Context, r *Rig, nodes, clients int, spread, patience time.Duration) (all []Knock) {
 	var mu sync.Mutex
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -221,14 +221,17 @@
 	if err != nil || !several {
 		return []target{a}, err
 	}
+	prefix := strings.TrimRight(first, "0123456789")
+	if !strings.HasPrefix(last, prefix) { // "link-n3..n40" is "link-n3..link-n40"
+		last = prefix + last[len(strings.TrimRight(last, "0123456789")):]
+	}
 	b, err := f.targetOf(last)
 	if err != nil {
 		return nil, err
 	}
-	if a.kind != b.kind || a.of != b.of || b.index < a.index || a.kind == a.name {
-		return nil, fmt.Errorf("%q are not several of one kind", on)
+	if b.index < a.index || a.kind == a.name {
+		return nil, fmt.Errorf("%q are not several", on)
 	}
-	prefix := strings.TrimRight(first, "0123456789")
 	for i := a.index; i <= b.index; i++ {
 		out = append(out, target{fmt.Sprint(prefix, i+1), a.kind, a.of, i})
 	}
--- a/internal/rig/knock.go
+++ b/internal/rig/knock.go
@@ -21,6 +21,7 @@
 	NoAdvice int           // of them, those that did not say when to come back
 	Failed   int           // answers ERR, and connections that ended without one
 	Longest  time.Duration // that one answer took
+	Last     string        // the last answer, or why there was none
 }
 
 // Knocks has clients come to one node, each until it is served or patience is over; each line waits for deadline. Every
@@ -67,6 +68,9 @@
 		k.Longest = max(k.Longest, r.Clock.Now()-began)
 		line = strings.TrimRight(line, "\r\n")
 		r.Ledger.Add(stand.Record{Who: name, What: stand.Heard, Note: line})
+		if k.Last = line; err != nil {
+			k.Last += err.Error()
+		}
 		word, rest, _ := strings.Cut(line, " ")
 		switch {
 		case err == nil && word == "UP":
@@ -87,6 +91,9 @@
 			sleep(ctx, wait)
 		default:
 			k.Failed++
+			if ctx.Err() == nil {
+				r.Ledger.Add(stand.Record{Who: name, What: stand.Failed, Note: k.Last})
+			}
 			_ = c.Close()
 			sleep(ctx, knockAgain)
 		}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,7 @@
 	Discovery *stand.Discovery
 	Front     *stand.Front
 
+	number    int // among those of this process
 	fleet     Fleet
 	opt       Options
 	store     *stand.SharedStore
@@ -53,6 +55,8 @@
 	closed bool
 }
 
+var rigs atomic.Int64
+
 // readyWithin is how long nodes may take to answer PING.
 const readyWithin = 30 * time.Second
 
@@ -75,7 +79,7 @@
 // Prepare makes all that processes deal with, and their files, and starts none of them: a test may set the stage first.
 func Prepare(f Fleet, opt Options) (r *Rig, err error) {
 	clock := stand.NewClock()
-	r = &Rig{Clock: clock, Ledger: stand.NewLedger(clock), fleet: f, opt: opt,
+	r = &Rig{Clock: clock, Ledger: stand.NewLedger(clock), fleet: f, opt: opt, number: int(rigs.Add(1)),
 		store: stand.NewStore(capacity.Store{Latency: f.Store.Latency.D(), Rate: f.Store.Rate})}
 	defer func() {
 		if err != nil {
@@ -131,6 +135,11 @@
 	return nil
 }
 
+// KnowsOne sets the list that one node knows when it starts next.
+func (r *Rig) KnowsOne(i int, revision int64, known ...wire.Member) error {
+	return r.configure(r.nodes[i], i, wire.Catalog{Revision: revision, Complete: true, Members: known})
+}
+
 // Launch starts all processes at once, as far as one machine can.
 func (r *Rig) Launch() error {
 	var front []stand.Node
@@ -280,8 +289,9 @@
 func (r *Rig) newNode(i int) error {
 	f := r.fleet
 	p := &process{name: fmt.Sprint("n", i+1), zone: f.Zones[i%len(f.Zones)], program: r.opt.Program, log: r.opt.Log, args: []string{"node"}}
-	// An address of its own, so that no connection from this machine takes the port while the node restarts.
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, 4*(os.Getpid()/64%60)+i/250, i%250+1))
+	// An address of its own, so that neither a connection from this machine nor a node of another rig takes the port
+	// while the node restarts.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, 4*((os.Getpid()/64+r.number)%64)+i/250, i%250+1))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/rig/startfaults_test.go
@@ -0,0 +1,413 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/internal/coldstart"
+	"onyxstream/internal/conf"
+	"onyxstream/internal/stand"
+	"onyxstream/internal/wire"
+)
+
+// Starts of several nodes with faults between them and the list service, each other and their hosts. What is judged is
+// what the service, the hosts and the clients saw.
+
+const startNodes = 12
+
+// launch starts the processes.
+func launch(t *testing.T, r *Rig) {
+	t.Helper()
+	if err := r.Launch(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// strike begins a fault.
+func strike(t *testing.T, r *Rig, x FaultSpec) (end func()) {
+	t.Helper()
+	over, err := r.Begin(x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		t.Helper()
+		if err := over(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// allServed has a client come to each node and wants it served, every answer at once and every refusal with advice.
+func allServed(t *testing.T, r *Rig, nodes, clients int) []Knock {
+	t.Helper()
+	all := knocks(t.Context(), r, nodes, clients, 200*time.Millisecond, 40*time.Second)
+	if err := r.Failed(); err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range all {
+		switch {
+		case k.Served == 0:
+			t.Errorf("a client of n%d is never served: %+v", k.Node+1, k)
+		case k.NoAdvice > 0:
+			t.Errorf("a client of n%d was turned away with no word of when to come back: %+v", k.Node+1, k)
+		}
+	}
+	return all
+}
+
+// calls counts those to the list service so far, and through which nodes' links they came.
+func calls(r *Rig) (n int, by map[string]int) {
+	recs, _ := r.Ledger.Records()
+	by = map[string]int{}
+	for _, x := range recs {
+		if node, ok := strings.CutSuffix(x.Who, ">list"); ok && x.What == stand.Dialled {
+			by[node]++
+		}
+	}
+	return Counted(recs).Calls, by
+}
+
+// setUps counts what hosts were sent from a moment on.
+func setUps(r *Rig, from time.Duration) map[string]int {
+	recs, _ := r.Ledger.Records()
+	out := map[string]int{}
+	for _, x := range recs {
+		if x.What == stand.Opened && x.At >= from {
+			out[x.Who]++
+		}
+	}
+	return out
+}
+
+// holds waits until a file appears in each of the folders.
+func holds(t *testing.T, r *Rig, nodes ...int) {
+	t.Helper()
+	for _, i := range nodes {
+		until(t, fmt.Sprintf("n%d keeps its list", i+1), func() bool {
+			_, err := os.Stat(filepath.Join(r.Folder(i), "hosts.list"))
+			return err == nil
+		})
+	}
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for begin := time.Now(); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Since(begin) > 30*time.Second {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func startFleet(nodes int, change func(*Fleet)) Fleet {
+	f := coldFleet(nodes)
+	f.Hosts, f.List.AskWithin = 4, conf.Duration(3*time.Second)
+	if change != nil {
+		change(&f)
+	}
+	return f
+}
+
+// Half of the nodes can't reach the service, in each of the ways a link fails: they are told by the others.
+func TestHalfOfTheNodesAreCutOffFromTheService(t *testing.T) {
+	for _, what := range []string{"refuse", "silence", "deaf", "mute", "stall"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			r := prepare(t, startFleet(startNodes, nil))
+			strike(t, r, FaultSpec{What: what, On: "link-n1..n6"})
+			launch(t, r)
+			allServed(t, r, startNodes, 2)
+			if n, by := calls(r); n > startNodes || len(by) > startNodes {
+				t.Errorf("%d calls by %v", n, by)
+			}
+		})
+	}
+}
+
+// With nobody to pass a list on, whoever is cut off can't know: told by one of them, the others are served all the same,
+// and the one that others can't reach either asks for itself.
+func TestANodeThatNoOtherCanReachAsksForItself(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(startNodes, nil))
+	strike(t, r, FaultSpec{What: "refuse", On: "peers-n9"})
+	launch(t, r)
+	allServed(t, r, startNodes, 1)
+	if _, by := calls(r); by["n9"] == 0 {
+		t.Errorf("n9 was told by nobody and asked nobody: %v", by)
+	}
+}
+
+// The service is busy and says when to come again: nothing, an hour, a date, or what it can't mean. Its calls stay few
+// meanwhile, and all are told soon when it is well.
+func TestRetryAfterOfABusyService(t *testing.T) {
+	for name, after := range map[string]string{"none": "", "at once": "0", "an hour": "3600", "nonsense": "soon, -7",
+		"a date": "Tue, 01 Dec 2026 10:00:00 GMT", "without end": strings.Repeat("9", 40)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := prepare(t, startFleet(startNodes, func(f *Fleet) {
+				f.List.After, f.List.AskWithin = after, conf.Duration(2*time.Second) // four times that is the longest rest
+			}))
+			r.Discovery.Answer(stand.Busy)
+			launch(t, r)
+			go func() {
+				time.Sleep(3 * time.Second)
+				r.Discovery.Answer(stand.Well)
+			}()
+			allServed(t, r, startNodes, 1)
+			if n, _ := calls(r); n > 4*startNodes {
+				t.Errorf("%d calls of %d nodes while it was busy", n, startNodes)
+			}
+		})
+	}
+}
+
+// A third is killed and started again while the service is down, the others are stopped for a while and go on in the same
+// instant: nobody is left behind, and those who come back together do not call together.
+func TestKilledAndStoppedDuringTheStart(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(startNodes, nil))
+	r.Discovery.Answer(stand.Resets)
+	launch(t, r)
+	time.Sleep(500 * time.Millisecond)
+	back := strike(t, r, FaultSpec{What: "kill", On: "n1..n4"})
+	on := strike(t, r, FaultSpec{What: "stall", On: "n5..n12"})
+	time.Sleep(5 * time.Second)
+	r.Discovery.Answer(stand.Well)
+	began := r.Clock.Now()
+	on()
+	back()
+	allServed(t, r, startNodes, 2)
+	recs, _ := r.Ledger.Records()
+	asked := Times(recs, "discovery", stand.Asked)
+	if most := Within(asked, began, began+100*time.Millisecond); most > startNodes/2 {
+		t.Errorf("%d of %d nodes call in the tenth of a second in which they go on", most, startNodes)
+	}
+}
+
+// A service that comes back with an older, shorter or empty list is followed to the letter: no host is sent anything that
+// the service does not name any more, whoever passed on what. With the right list all are served again.
+func TestTheServiceComesBackWithAnotherList(t *testing.T) {
+	for name, left := range map[string]int{"shorter": 2, "empty": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := prepare(t, startFleet(6, func(f *Fleet) { f.List.AskWithin = conf.Duration(2 * time.Second) }))
+			var all []wire.Member
+			for _, h := range r.Hosts() {
+				all = append(all, r.Member(h, wire.Serving))
+			}
+			r.Discovery.Set(all...) // revision 2
+			launch(t, r)
+			allServed(t, r, 6, 2)
+			r.Discovery.Restore(1, all[:left]...)
+			named := map[string]bool{}
+			for _, m := range all[:left] {
+				named[m.ID] = true
+			}
+			if left > 0 {
+				// Those that follow others ask for themselves once nobody confirms what they hold.
+				time.Sleep(8 * time.Second)
+				from := r.Clock.Now()
+				allServed(t, r, 6, 2)
+				for h := range setUps(r, from) {
+					if !named[h] {
+						t.Errorf("%s was sent clients, the service names %v", h, named)
+					}
+				}
+			} else {
+				time.Sleep(8 * time.Second)
+				from := r.Clock.Now()
+				for _, k := range knocks(t.Context(), r, 6, 2, 0, 2*time.Second) {
+					if k.Served > 0 || k.NoAdvice > 0 || k.Failed > 0 || k.Longest > 500*time.Millisecond {
+						t.Errorf("with no host: %+v", k)
+					}
+				}
+				if got := setUps(r, from); len(got) > 0 {
+					t.Errorf("hosts that nobody names were sent %v", got)
+				}
+			}
+			r.Discovery.Restore(3, all...)
+			allServed(t, r, 6, 1)
+		})
+	}
+}
+
+// One node holds an old list, cut off from the service, and passes it on: whoever was told a newer one never goes back to
+// it, and the host that was taken out since is sent nothing by them.
+func TestAnOldListThatIsPassedOn(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(startNodes, func(f *Fleet) { f.ColdStart.Peers = 8 }))
+	var all []wire.Member
+	for _, h := range r.Hosts() {
+		all = append(all, r.Member(h, wire.Serving))
+	}
+	if err := r.KnowsOne(0, 1, all...); err != nil { // n1 alone knows the list as it was
+		t.Fatal(err)
+	}
+	gone := all[3]
+	gone.Phase = wire.Deleted
+	r.Discovery.Set(gone)
+	strike(t, r, FaultSpec{What: "refuse", On: "link-n1"})
+	launch(t, r)
+	allServed(t, r, startNodes, 2)
+	time.Sleep(time.Second) // n1 has been told by the others
+	from := r.Clock.Now()
+	allServed(t, r, startNodes, 4)
+	if n := setUps(r, from)[gone.ID]; n > 0 {
+		t.Errorf("%s, which the service took out, was sent %d clients", gone.ID, n)
+	}
+}
+
+// A host that a node was told to drain is not sent anything because another node's list says that it serves.
+func TestADrainIsNotLiftedByAListThatIsPassedOn(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(2, func(f *Fleet) { f.ColdStart.Peers = 1 }))
+	hosts := r.Hosts()
+	serving, draining := r.Member(hosts[0], wire.Serving), r.Member(hosts[0], wire.Draining)
+	var rest []wire.Member
+	for _, h := range hosts[1:] {
+		rest = append(rest, r.Member(h, wire.Serving))
+	}
+	// n1 knows the drain; n2 holds a list with a higher number in which the host serves, and neither reaches the service.
+	if err := r.KnowsOne(0, 5, append(rest, draining)...); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.KnowsOne(1, 6, append(rest, serving)...); err != nil {
+		t.Fatal(err)
+	}
+	strike(t, r, FaultSpec{What: "refuse", On: "link-n1..n2"})
+	launch(t, r)
+	until(t, "n1 is passed n2's list", func() bool { return r.status(t, 0).Revision == 6 })
+	from := r.Clock.Now()
+	for _, k := range r.Knocks(t.Context(), 0, 40, time.Second, 500*time.Millisecond, 5*time.Second) {
+		if k.Served == 0 {
+			t.Errorf("%+v", k)
+		}
+	}
+	if n := setUps(r, from)[hosts[0].ID()]; n > 0 {
+		t.Errorf("the host that drains was sent %d clients", n)
+	}
+}
+
+// A folder keeps the list over a kill; what is of another service, cut short or from the future does no harm.
+func TestFoldersOverRestarts(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(5, func(f *Fleet) { f.ColdStart.Folder, f.ColdStart.Peers = true, 0 }))
+	launch(t, r)
+	allServed(t, r, 5, 1)
+	holds(t, r, 0, 1, 2, 3, 4)
+	r.Discovery.Answer(stand.Resets)
+	back := strike(t, r, FaultSpec{What: "kill", On: "n1..n4"})
+	lost := strike(t, r, FaultSpec{What: "lose", On: "n5"})
+	path := func(i int) string { return filepath.Join(r.Folder(i), "hosts.list") }
+	text, err := os.ReadFile(path(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path(1), text[:len(text)-9], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var k coldstart.Kept
+	if err := json.Unmarshal(text[strings.IndexByte(string(text), '\n'):], &k); err != nil {
+		t.Fatal(err)
+	}
+	keep := func(i int, k coldstart.Kept) {
+		text, err := k.Encode()
+		if err == nil {
+			err = os.WriteFile(path(i), text, 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	other := k
+	other.Service = "another"
+	keep(2, other)
+	future := k
+	future.Confirmed += time.Hour.Milliseconds()
+	keep(3, future)
+	back()
+	lost()
+	for i, serves := range []bool{true, false, false, true, false} {
+		for _, k := range r.Knocks(t.Context(), i, 2, 0, time.Second, 2*time.Second) {
+			if (k.Served > 0) != serves || k.NoAdvice > 0 {
+				t.Errorf("n%d, while the service is down: %+v, want it served: %v", i+1, k, serves)
+			}
+		}
+	}
+	r.Discovery.Answer(stand.Well)
+	allServed(t, r, 5, 1)
+}
+
+// A signal names another service during the start: its lists count, the old one's are passed on to nobody, and the new
+// one is not called by all at once.
+func TestTheServiceIsNamedAnewDuringTheStart(t *testing.T) {
+	t.Parallel()
+	const nodes = 40
+	r := prepare(t, startFleet(nodes, func(f *Fleet) { f.List.Links = false }))
+	ledger := stand.NewLedger(r.Clock)
+	next, err := stand.NewDiscovery("", r.Clock, ledger, 1, r.Member(r.Hosts()[0], wire.Serving))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(next.Close)
+	launch(t, r)
+	allServed(t, r, nodes, 1)
+	began := r.Clock.Now()
+	for i := range nodes {
+		if err := r.Follow(i, next.Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "all follow the new one's list", func() bool {
+		from := r.Clock.Now()
+		allServed(t, r, nodes, 1)
+		got := setUps(r, from)
+		return len(got) == 1 && got[r.Hosts()[0].ID()] > 0
+	})
+	recs, _ := ledger.Records()
+	if asked := Times(recs, "discovery", stand.Asked); Within(asked, began, began+200*time.Millisecond) > nodes/3 {
+		t.Errorf("%d of %d nodes call the new one in the first fifth of a second", Within(asked, began, began+200*time.Millisecond), nodes)
+	}
+}
+
+// Two hundred clients at a node that has no list: each is told at once when to come back, and served soon when it has one.
+func TestManyClientsAtANodeWithoutAList(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(3, func(f *Fleet) { f.ColdStart.Peers = 2 }))
+	r.Discovery.Answer(stand.Resets)
+	launch(t, r)
+	go func() {
+		time.Sleep(2 * time.Second)
+		r.Discovery.Answer(stand.Well)
+	}()
+	for _, k := range r.Knocks(t.Context(), 1, 200, time.Second, time.Second, 40*time.Second) {
+		if k.Served == 0 || k.NoAdvice > 0 || k.Failed > 0 {
+			t.Errorf("%+v", k)
+		}
+	}
+}
+
+// What an operator sees of it: the part of the start, where the list came from and how old it is, at the agent.
+func TestOperatorsSeeThePartOfTheStart(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(3, func(f *Fleet) { f.ColdStart.Peers, f.Agents = 2, 1 }))
+	r.Discovery.Answer(stand.Resets)
+	launch(t, r)
+	says := func(want string) func() bool {
+		return func() bool { return strings.Count(r.command(t, "instances", "list"), want) == 3 }
+	}
+	until(t, "three with no list", says("none, "))
+	r.Discovery.Answer(stand.Well)
+	until(t, "three with a current one", says("current ("))
+	// Cut off from the service and from each other, what they hold ages: the agent still hears of it.
+	end := strike(t, r, FaultSpec{What: "refuse", On: "link-n1..n3"})
+	until(t, "three with an old one", says("old ("))
+	end()
+	until(t, "three with a current one again", says("current ("))
+}
