A drain's grace ends a tenth sooner; cold budgets grow from half warm on; old lists pass for cold

To blame: brain.go hands the whole grace to table.progress, and what is decided in its last turn leaves the node behind it. The present share of what comes is served. Old lists: brain.Server.Guess, set by the node until the list is confirmed.

--- a/brain/api.go
+++ b/brain/api.go
@@ -93,6 +93,7 @@
 	State  ServerState
 	Weight float64       // listed size against others'
 	Since  time.Duration // clock time of its last start; 0 for long ago
+	Guess  bool          // Since is a guess, as the list is old; a later list tells
 }
 
 // Event is one thing that happened to the node.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -66,7 +66,7 @@
 		b.askNotBy = now + b.jitter(b.apart(b.set.AskWithin/20))
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
-	b.table.progress(now, b.set.DrainGrace, len(b.reqs) == 0)
+	b.table.progress(now, b.set.DrainGrace*9/10, len(b.reqs) == 0) // the rest is for the way out of the node
 	switch e := ev.(type) {
 	case ListEvent:
 		b.listed(e)
@@ -108,8 +108,8 @@
 	}
 	r := &request{Arrival: e, deadline: b.now + e.Left}
 	r.load = cmp.Or(b.means[e.Class], b.unit, 1) // until a note tells more
-	b.reqs[e.ID] = r
-	if on == nil {
+	if b.reqs[e.ID] = r; on == nil {
+		b.coming++
 		b.try(r)
 		return
 	}
@@ -560,7 +560,7 @@
 		if n := min(b.placed, 2*b.rate+1); b.gap == 0 || n > b.rate {
 			b.rate += rateSmooth * (n - b.rate)
 		}
-		b.placed, b.secondAt = 0, b.now
+		b.placed, b.came, b.coming, b.secondAt = 0, b.coming, 0, b.now
 	}
 	if b.set.AskList && !b.watching && b.now >= b.askNotBy && (!b.asking || b.now > b.askedAt+b.set.AskWithin) {
 		b.asking, b.askedAt = true, b.now
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -59,8 +59,8 @@
 			s = &server{id: row.ID, hash: xxhash.Sum64String(string(row.ID)), groups: map[string]int{}}
 			b.servers[row.ID] = s
 		}
-		if s.weight == 0 || row.Since > s.since { // new, or restarted under its old id: cold, and not what it was
-			s.since, s.limit, s.peak, s.strikes, s.suspect = row.Since, 0, 0, 0, 0
+		if s.weight == 0 || row.Since > s.since || s.guess && !row.Guess { // new, restarted, or now told
+			s.since, s.guess, s.limit, s.peak, s.strikes, s.suspect = row.Since, row.Guess, 0, 0, 0, 0
 			if s.tokens, s.refill = 0, b.now-b.set.FallWindow; b.quota <= 0 {
 				s.tokens, s.refill = b.rng.Float64(), b.now
 			}
@@ -163,21 +163,21 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up;
-// full it has its part of the tenants' quotas, which are of the fleet at its largest. Without quotas it is
-// what this node places for the weight. A share of under one connection in a window is one in some windows,
-// by chance: saved up, the shares of many nodes would come down together.
+// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up, more
+// from half warm on; full it has its part of the tenants' quotas, of the fleet at its largest. Without quotas
+// it is what this node places, or, where all are cold and nothing is placed, the present share of what comes.
+// Under one in a window is one in some: saved up, the shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
 		return true
 	}
 	if b.quota <= 0 { // what this node places is less than servers bear, and saved up where little comes to it
-		rate := b.set.FallMultiple * share * b.rate * s.weight / max(b.weight, s.weight)
+		rate := share * max(b.set.FallMultiple*b.rate, b.came) * s.weight / max(b.weight, s.weight)
 		s.tokens = min(max(1, rate*b.set.FallWindow.Seconds()), s.tokens+rate*(b.now-s.refill).Seconds())
 		s.refill = b.now
 	} else if b.now >= s.refill+b.set.FallWindow {
-		part := b.quota * s.weight / max(b.most, s.weight)
+		part := b.quota * s.weight / max(b.most, s.weight) * max(1, 2*share)
 		n := b.set.FallMultiple * part * b.set.FallWindow.Seconds() / b.set.WarmWithin.Seconds()
 		s.tokens, s.refill = math.Floor(n+b.rng.Float64()), b.now
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -51,6 +51,7 @@
 	means                []float64 // the same of each class
 	quota                float64   // this node's part of what the tenants may have open
 	rate, placed         float64   // set-ups a second, and in the second that runs
+	came, coming         float64   // requests that came in the last whole second, and in the one that runs
 
 	gap, nextSend, cutAt time.Duration // gap: least time between paced sends, 0 for none
 	setup                time.Duration // what a set-up takes of late, over all servers
@@ -79,6 +80,7 @@
 	parity     int
 
 	since, changedAt time.Duration // its start; when it began to drain or fill
+	guess            bool          // since is not told, but guessed
 	entries, cursor  int           // first-hop entries that it holds, none of them before cursor
 
 	conns  int            // open connections and attempts under way
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -21,6 +21,9 @@
 	start   *coldstart.Start
 	service atomic.Pointer[string] // the name that all nodes know the list service by
 	part    coldstart.Part
+	// guessed is when hosts pass for started, Unix time in milliseconds, while the list is one that nobody has confirmed
+	// since this node's start: it can't tell which were started with it, and all are, after a power cut. 0 for not.
+	guessed int64
 	holding atomic.Pointer[Holding]
 	empty   chan struct{} // closed with the first list that is held
 }
@@ -46,6 +49,10 @@
 func (n *Node) Cold(s *coldstart.Start, service string) {
 	n.start = s
 	n.service.Store(&service)
+	if n.start.State(n.now()).Part == coldstart.Old {
+		n.guessed = n.base.UnixMilli()
+		n.list(&wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}, brain.ListCached)
+	}
 	n.publish(true)
 	n.step()
 }
@@ -122,6 +129,7 @@
 		return
 	}
 	n.start.Told(n.now(), n.revision, len(n.listed()))
+	n.sure()
 	n.publish(true)
 	n.step()
 }
@@ -150,9 +158,20 @@
 			n.start.Doubt(now)
 		}
 	}
+	if n.start.State(now).Part == coldstart.Current {
+		n.sure()
+	}
 	n.publish(verdict == coldstart.Take)
 }
 
+// sure ends the guess at when hosts were started: what is held says so now.
+func (n *Node) sure() {
+	if n.guessed > 0 {
+		n.guessed = 0
+		n.list(&wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}, brain.ListFull)
+	}
+}
+
 // keepDrains has hosts drain in a list that was passed on which this node was told to drain: only the service itself, or
 // a later start of the host, lifts that. It returns how many.
 func (n *Node) keepDrains(list *wire.Catalog) (held int) {
--- a/internal/rig/startfaults_test.go
+++ b/internal/rig/startfaults_test.go
@@ -393,6 +393,50 @@
 	}
 }
 
+// After a power cut all hosts are cold, and the old list that all nodes know does not say so: together they must not push
+// one over, while the service is down as well as after, and what can be served meanwhile is.
+func TestAllHostsAreColdAndTheListIsOld(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(startNodes, func(f *Fleet) {
+		f.List.Unknown = false
+		f.Host = Host{Cores: 1, Load: 0.0001, Setup: conf.Duration(20 * time.Millisecond), Cold: 0.3, Warm: conf.Duration(10 * time.Second),
+			Fall: 4, FallIn: conf.Duration(time.Second), Fresh: true}
+	}))
+	var old []wire.Member
+	for _, h := range r.Hosts() {
+		m := r.Member(h, wire.Serving)
+		m.UpSince = 0
+		old = append(old, m)
+	}
+	if err := r.Knows(1, old...); err != nil {
+		t.Fatal(err)
+	}
+	r.Discovery.Answer(stand.Resets)
+	launch(t, r)
+	go func() {
+		time.Sleep(3 * time.Second)
+		r.Discovery.Answer(stand.Well)
+	}()
+	served := 0
+	all := knocks(t.Context(), r, startNodes, 80, 2*time.Second, 20*time.Second)
+	for _, k := range all {
+		if k.Served > 0 {
+			served++
+		}
+		if k.NoAdvice > 0 {
+			t.Errorf("turned away with no word of when to come back: %+v", k)
+		}
+	}
+	for _, h := range r.Hosts() {
+		if h.State().Fell {
+			t.Errorf("%s was pushed over", h.ID())
+		}
+	}
+	if served < len(all)*9/10 {
+		t.Errorf("%d of %d were served", served, len(all))
+	}
+}
+
 // What an operator sees of it: the part of the start, where the list came from and how old it is, at the agent.
 func TestOperatorsSeeThePartOfTheStart(t *testing.T) {
 	t.Parallel()
