--- a/internal/load/page/page.go
+++ b/internal/load/page/page.go
@@ -18,6 +18,7 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 
 	"onyxstream/internal/load"
+	"onyxstream/internal/rig"
 )
 
 //go:embed page.html
@@ -54,6 +55,7 @@
 		{"Requests by what became of them", outcomes},
 		{"Latency over time", overTime},
 		{"Connections that stand", standing},
+		{"The start: calls to the list service and set-ups at hosts, from the start of the processes on", start},
 	} {
 		g, err := p.draw(r)
 		if err != nil {
@@ -237,6 +239,30 @@
 	return p, marks(p, r)
 }
 
+// start draws what the list service and the hosts saw from the moment at which the fleet was started.
+func start(r *load.Result) (*plot.Plot, error) {
+	p := newPlot("s", "in 100 ms")
+	for i, l := range []struct {
+		name string
+		of   func(s *rig.Step) int
+	}{
+		{"calls to the list service", func(s *rig.Step) int { return s.Calls }},
+		{"of them turned away", func(s *rig.Step) int { return s.Turned }},
+		{"set-ups at all hosts", func(s *rig.Step) int { return s.SetUps }},
+		{"most at one host", func(s *rig.Step) int { return s.Most }},
+	} {
+		var points plotter.XYs
+		for k := range r.Start {
+			points = append(points, plotter.XY{X: r.Start[k].At, Y: float64(l.of(&r.Start[k]))})
+		}
+		if err := add(p, l.name, i, i == 1, points); err != nil {
+			return nil, err
+		}
+	}
+	p.Y.Min, p.Y.Max = 0, max(p.Y.Max, 1)*headroom
+	return p, nil
+}
+
 // mostMarks bounds the lines that a plot gets; the table has all.
 const mostMarks = 40
 
--- a/internal/load/play.go
+++ b/internal/load/play.go
@@ -128,6 +128,8 @@
 		res.Nodes = &u
 		recs, lost := r.Ledger.Records()
 		res.told(recs, began)
+		list := rig.Counted(recs)
+		res.List, res.Start = &list, rig.Steps(recs, r.Launched())
 		if lost == 0 {
 			res.Wrong = rec.wrong(recs)
 		}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -43,6 +43,7 @@
 	Unknown   bool          `toml:"unknown"`     // nodes start with no list
 	Links     bool          `toml:"links"`       // each node reaches it over a link that can fail
 	AskWithin conf.Duration `toml:"ask_within"`
+	Down      conf.Duration `toml:"down"` // calls are reset for so long from the start of the processes on
 }
 
 // ColdStart is what the nodes' own configuration says of their start.
@@ -156,7 +157,8 @@
 		{"host.uneven", f.Host.Uneven, 0, 0.99}, {"store.latency", f.Store.Latency.D().Seconds(), 0, 600},
 		{"store.rate", f.Store.Rate, 0, 1e9}, {"agents", float64(f.Agents), 0, mostAgents},
 		{"list.cost", f.List.Cost.D().Seconds(), 0, 60}, {"list.wait", f.List.Wait.D().Seconds(), 0, 600},
-		{"list.queue", float64(f.List.Queue), 0, 1e6}, {"list.ask_within", f.List.AskWithin.D().Seconds(), 0.1, 600},
+		{"list.queue", float64(f.List.Queue), 0, 1e6}, {"list.down", f.List.Down.D().Seconds(), 0, 600},
+		{"list.ask_within", f.List.AskWithin.D().Seconds(), 0.1, 600},
 	} {
 		if !(b.v >= b.from && b.v <= b.to) {
 			return conf.Wrong("fleet."+b.name, "%g is not between %g and %g", b.v, b.from, b.to)
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -58,6 +58,52 @@
 		Most: Most(asked, 100*time.Millisecond)}
 }
 
+// Step is a part of a start.
+type Step struct {
+	At     float64 `json:"at_s"` // its begin, from the start of the processes on
+	Calls  int     `json:"calls"`
+	Turned int     `json:"turned"`
+	SetUps int     `json:"set_ups"` // at all hosts
+	Most   int     `json:"most"`    // of them at one
+}
+
+// stepWidth is a step's length, and mostSteps bounds how many there are.
+const (
+	stepWidth = 100 * time.Millisecond
+	mostSteps = 3000
+)
+
+// Steps counts what the list service and the hosts saw of a start, step by step, to the last step with anything in it.
+func Steps(recs []stand.Record, launched time.Duration) (out []Step) {
+	at := map[int]map[string]int{}
+	for _, x := range recs {
+		i := int((x.At - launched) / stepWidth)
+		if x.At < launched || i >= mostSteps {
+			continue
+		}
+		call, turned, host := x.Who == "discovery" && x.What == stand.Asked, x.Who == "discovery" && x.What == stand.Turned, x.What == stand.Opened
+		if !call && !turned && !host {
+			continue
+		}
+		for len(out) <= i {
+			out = append(out, Step{At: (time.Duration(len(out)) * stepWidth).Seconds()})
+		}
+		switch s := &out[i]; {
+		case call:
+			s.Calls++
+		case turned:
+			s.Turned++
+		default:
+			if at[i] == nil {
+				at[i] = map[string]int{}
+			}
+			at[i][x.Who]++
+			s.SetUps, s.Most = s.SetUps+1, max(s.Most, at[i][x.Who])
+		}
+	}
+	return out
+}
+
 // Burst is the largest number of set-ups at one host within a span, and which host that was.
 func Burst(recs []stand.Record, hosts []string, span time.Duration) (most int, host string) {
 	for _, h := range hosts {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -38,6 +38,7 @@
 	Front     *stand.Front
 
 	number    int // among those of this process
+	launched  time.Duration
 	fleet     Fleet
 	opt       Options
 	store     *stand.SharedStore
@@ -145,6 +146,11 @@
 	var front []stand.Node
 	all := append(append([]*process(nil), r.nodes...), r.agents...)
 	errs := make([]error, len(all))
+	r.launched = r.Clock.Now()
+	if down := r.fleet.List.Down.D(); down > 0 {
+		r.Discovery.Answer(stand.Resets)
+		r.after(down, func() { r.Discovery.Answer(stand.Well) })
+	}
 	var wg sync.WaitGroup
 	for i, p := range all {
 		wg.Go(func() { errs[i] = p.start() })
@@ -157,6 +163,9 @@
 	return errors.Join(errs...)
 }
 
+// Launched is when the processes were started.
+func (r *Rig) Launched() time.Duration { return r.launched }
+
 // Ready waits until all nodes serve.
 func (r *Rig) Ready(ctx context.Context) error {
 	ready, cancel := context.WithTimeout(ctx, readyWithin)
