Dead hosts of an old list are found by few dials: nodes tell each other while it is old

Seen, 24 nodes with an old list, two of six hosts gone, the service down, 720 clients in 3 s: 72 and 76 dials to the two. Each node found them by its own attempts, and again every three quarters of a second. Change: GET /v1/list tells which hosts could not be connected to and how long ago, while the list is one that nobody has confirmed; who hears it shuns them (brain.Server.Shun), for longer than the module would by itself and not all equally long.

--- a/brain/api.go
+++ b/brain/api.go
@@ -94,6 +94,7 @@
 	Weight float64       // listed size against others'
 	Since  time.Duration // clock time of its last start; 0 for long ago
 	Guess  bool          // Since is a guess, as the list is old; a later list tells
+	Shun   time.Duration // for how long it gets nothing new, as other nodes could not connect to it; 0 for not
 }
 
 // Event is one thing that happened to the node.
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -66,6 +66,7 @@
 			}
 		}
 		s.zone, s.cell, s.weight = row.Zone, row.Cell, cmp.Or(max(row.Weight, 0), 1)
+		s.suspect = max(s.suspect, b.now+row.Shun)
 		if s.state == draining { // called back
 			b.table.drained(s)
 		}
@@ -163,9 +164,9 @@
 }
 
 // affords reports whether this node's share of a cold server's budget, FallMultiple times its present
-// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up, more
-// from half warm on; full it has its part of the tenants' quotas, of the fleet at its largest. Without quotas
-// it is what this node places, or, where all are cold and nothing is placed, the present share of what comes.
+// capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up,
+// more from half warm on; full it has its part of the tenants' quotas, of the fleet at its largest. Without
+// them it is what this node places, or, where all are cold and nothing is placed, its share of what comes.
 // Under one in a window is one in some: saved up, the shares of many nodes would come down together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
@@ -216,9 +217,8 @@
 	}
 }
 
-// dropped notes that a server broke an open connection. One that breaks most of what it holds at once has let
-// go of a pile that grew before late messages could tell, at time's own pace or faster: it is good for half
-// of what it bore. Without that, all who come back are put there again, and dropped again.
+// dropped notes that a server broke an open connection. One that breaks most of all lets go of a pile
+// that grew before late messages could tell: it is good for half of what it bore, or all come back at once.
 func (b *Brain) dropped(s *server) {
 	if b.now > s.lostAt+sweepEvery {
 		s.lost, s.borne = 0, b.bears(s)
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"onyxstream/internal/wire"
@@ -19,6 +21,13 @@
 	Waited   time.Duration `json:"waited_ns"`
 	Revision int64         `json:"revision"`
 	List     *wire.Catalog `json:"list,omitempty"` // nil where the asker's revision is this one
+	Dead     []Dead        `json:"dead,omitempty"` // hosts that could not be connected to while the list is old
+}
+
+// Dead is a host that a node could not connect to, and how long ago.
+type Dead struct {
+	ID  string        `json:"id"`
+	Age time.Duration `json:"age_ns"`
 }
 
 // Holding is the list that an instance holds now.
@@ -27,6 +36,8 @@
 	List      wire.Catalog // complete; never changed once it is held
 	Confirmed time.Time    // when the service last told or confirmed it
 	Fresh     chan struct{}
+	Dead      []string    // hosts that could not be connected to of late, and when
+	DeadAt    []time.Time // of each
 }
 
 // Lister is an instance that passes its list on. Holding returns nil where it has none; Fresh of what it returns is closed
@@ -41,6 +52,7 @@
 	// agent's calls find a connection.
 	mostAskers = 32
 	mostAsk    = 10 * time.Second // the longest that such a call may wait
+	mostDead   = 256              // hosts found dead that are told of
 	// fresher is how much younger than the asker's what is held must be to be worth an answer before the asked time.
 	fresher = 500 * time.Millisecond
 )
@@ -61,7 +73,7 @@
 		return
 	}
 	began := time.Now()
-	service := q.URL.Query().Get("service")
+	service, dead := q.URL.Query().Get("service"), strings.Split(q.URL.Query().Get("dead"), ",")
 	after, age, within, err := asked(q.URL.Query())
 	if err != nil {
 		Fail(w, http.StatusBadRequest, err)
@@ -80,7 +92,8 @@
 		}
 		if h != nil {
 			ahead := now.Sub(began) + age - now.Sub(h.Confirmed) // by how much the asker's is older by now
-			if h.List.Revision > after || over || ahead >= fresher && h.List.Revision == after {
+			news := q.URL.Query().Has("dead") && slices.ContainsFunc(h.Dead, func(id string) bool { return !slices.Contains(dead, id) })
+			if h.List.Revision > after || over || (news || ahead >= fresher) && h.List.Revision == after {
 				s.pass(w, h, after, began)
 				return
 			}
@@ -104,6 +117,9 @@
 	if h.List.Revision != after {
 		p.List = &h.List
 	}
+	for i, id := range h.Dead[:min(len(h.Dead), mostDead)] {
+		p.Dead = append(p.Dead, Dead{id, now.Sub(h.DeadAt[i])})
+	}
 	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(bodyWithin))
 	Reply(w, p)
 }
@@ -128,17 +144,24 @@
 }
 
 // List asks an instance for its list of a service: it answers as soon as it holds one that is newer than the revision given, or younger
-// than age, and after within at the latest. The time at which the answer was true comes with it, as early as it can have
+// than age, or other hosts found dead than those given (nil where they don't matter), and after within at the latest. The time at which the answer was true comes with it, as early as it can have
 // been: an answer that lay unread counts as old as it is.
-func (c *Client) List(ctx context.Context, service string, after int64, age, within time.Duration) (p Passed, at time.Time, err error) {
+func (c *Client) List(ctx context.Context, service string, after int64, age, within time.Duration, dead *[]string) (p Passed, at time.Time, err error) {
 	began := time.Now()
-	path := fmt.Sprintf("/v1/list?service=%s&after=%d&age_ms=%d&within_ms=%d", url.QueryEscape(service), after, min(age, mostWithin).Milliseconds(), within.Milliseconds())
+	path := fmt.Sprintf("/v1/list?service=%s&after=%d&age_ms=%d&within_ms=%d", url.QueryEscape(service), after,
+		min(age, mostWithin).Milliseconds(), within.Milliseconds())
+	if dead != nil {
+		path += "&dead=" + url.QueryEscape(strings.Join((*dead)[:min(len(*dead), mostDead)], ","))
+	}
 	if err = c.Call(ctx, http.MethodGet, path, nil, &p); err != nil {
 		return p, began, err
 	}
 	if p.Age < 0 || p.Waited < 0 || p.Waited > time.Since(began) {
 		return p, began, errors.New("the answer's times can't be true")
 	}
+	if len(p.Dead) > mostDead {
+		return p, began, fmt.Errorf("the answer names over %d dead hosts", mostDead)
+	}
 	if p.List != nil {
 		if err := p.List.Check(); err != nil {
 			return p, began, fmt.Errorf("the list that was passed on: %w", err)
--- a/internal/lifecycle/coldstart.go
+++ b/internal/lifecycle/coldstart.go
@@ -201,7 +201,7 @@
 			return nil
 		}
 		wait = min(2*wait, pullMost)
-		if n.Holding() == nil { // nobody can be placed: whoever has been told is to be found soon
+		if h := n.Holding(); h == nil || h.Guessed { // whoever has been told is to be found soon
 			wait = min(wait, pullMost/4)
 		}
 	}
@@ -210,13 +210,19 @@
 
 // ask makes one call to another node; false where that brought nothing.
 func (c *ColdStart) ask(ctx context.Context, n *node.Node, peer *control.Client, addr string, log *zap.Logger) bool {
-	service, after, age := n.Service(), int64(-1), time.Duration(0)
+	service, after, age, dead := n.Service(), int64(-1), time.Duration(0), (*[]string)(nil)
 	if h := n.Holding(); h != nil && h.Service == service {
 		after, age = h.List.Revision, max(time.Since(h.Confirmed), 0)
+		if h.Guessed {
+			dead = &[]string{}
+			for _, d := range h.Dead {
+				*dead = append(*dead, d.ID)
+			}
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullWithin)
 	defer cancel()
-	p, at, err := peer.List(ctx, service, after, age, pullFor)
+	p, at, err := peer.List(ctx, service, after, age, pullFor, dead)
 	var refused *control.RemoteError
 	switch {
 	case err == nil:
@@ -227,7 +233,11 @@
 		log.Debug("another node could not be asked for its list", zap.String("from", addr), zap.Error(err))
 		return false
 	}
-	n.PassedOn(node.Passed{Offer: coldstart.Offer{Service: p.Service, Revision: p.Revision, Age: p.Age}, List: p.List, From: addr, At: at})
+	passed := node.Passed{Offer: coldstart.Offer{Service: p.Service, Revision: p.Revision, Age: p.Age}, List: p.List, From: addr, At: at}
+	for _, d := range p.Dead {
+		passed.Dead = append(passed.Dead, node.Dead{ID: d.ID, At: at.Add(-max(d.Age, 0))})
+	}
+	n.PassedOn(passed)
 	return p.Revision > after || p.Revision == after && p.Age < age
 }
 
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -141,7 +141,11 @@
 	if h == nil {
 		return nil
 	}
-	return &control.Holding{Service: h.Service, List: h.List, Confirmed: h.Confirmed, Fresh: h.Fresh}
+	out := &control.Holding{Service: h.Service, List: h.List, Confirmed: h.Confirmed, Fresh: h.Fresh}
+	for _, d := range h.Dead {
+		out.Dead, out.DeadAt = append(out.Dead, d.ID), append(out.DeadAt, d.At)
+	}
+	return out
 }
 
 // Empty is closed once the node has a list.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -62,7 +62,7 @@
 		m.listed, m.out = e, e.Phase == wire.Deleted
 		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
-			Since: time.Duration(max(e.UpSince, n.backs[id], n.guessed)) * time.Millisecond, Guess: n.guessed > 0}
+			Since: time.Duration(max(e.UpSince, n.backs[id], n.guessed)) * time.Millisecond, Guess: n.guessed > 0, Shun: n.shunned(id)}
 		if z, ok := n.zones[e.Zone]; ok {
 			s.Zone = z
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,7 +165,7 @@
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
-		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}}, starting: starting{empty: make(chan struct{})},
+		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
@@ -489,6 +489,9 @@
 
 func (n *Node) settle(e event, r *request) {
 	r.out = false
+	if e.outcome == brain.NoConnect || e.outcome == brain.Reset && !r.up {
+		n.unreached(r.on)
+	}
 	final := r.up || r.answered
 	if r.up {
 		n.open.Add(-1)
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,8 @@
 	// guessed is when hosts pass for started, Unix time in milliseconds, while the list is one that nobody has confirmed
 	// since this node's start: it can't tell which were started with it, and all are, after a power cut. 0 for not.
 	guessed int64
+	// dead are hosts that could not be connected to while the list is such: a dial of one node spares the others theirs.
+	dead    map[string]time.Time
 	holding atomic.Pointer[Holding]
 	empty   chan struct{} // closed with the first list that is held
 }
@@ -35,14 +38,26 @@
 	List      wire.Catalog  // complete; as the service told it, without the words of this node's operators
 	Confirmed time.Time     // when the service last told or confirmed it
 	Fresh     chan struct{} // closed once another one is held
+	Guessed   bool          // nobody has confirmed it since the node's start
+	Dead      []Dead        // hosts to which this node, or one that told it, could not connect of late
 }
 
+// Dead is a host of an old list to which a node could not connect.
+type Dead struct {
+	ID string
+	At time.Time // of the dial
+}
+
+// mostDead bounds the hosts of which that is kept and passed on.
+const mostDead = 256
+
 // Passed is a list that another node passed on, or the word that it has the same one.
 type Passed struct {
 	Offer coldstart.Offer
 	List  *wire.Catalog // nil for the word alone
-	From  string        // who passed it on
-	At    time.Time     // when Offer.Age was true
+	Dead  []Dead
+	From  string    // who passed it on
+	At    time.Time // when Offer.Age was true
 }
 
 // Cold turns the cold start on. It is called before Run.
@@ -99,6 +114,9 @@
 	if n.start.Due(n.now()) {
 		n.watch()
 	}
+	if h := n.holding.Load(); h != nil && len(n.buried()) < len(h.Dead) {
+		n.publish(false) // hosts found dead long ago are to be tried again, here and by those who are told
+	}
 	n.step()
 }
 
@@ -119,6 +137,7 @@
 	case evPassed:
 		n.start.Heard(n.now())
 		n.offered(*e.passed)
+		n.heardDead(e.passed.Dead)
 	}
 	n.step()
 }
@@ -164,10 +183,72 @@
 	n.publish(verdict == coldstart.Take)
 }
 
+// shunFor is for how long a host that this node or another found dead gets nothing new: twice as long as the module
+// leaves one alone by itself, and up to half as long again by the node's index. So few try it again first, and tell the
+// others anew.
+func (n *Node) shunFor() time.Duration {
+	aim := time.Duration(0)
+	for _, c := range n.set.Classes {
+		if c.SetupAim > 0 && (aim == 0 || c.SetupAim < aim) {
+			aim = c.SetupAim
+		}
+	}
+	return 8*aim + 4*aim*time.Duration(n.set.Index%16)/16
+}
+
+// unreached notes that a dial of this node came to nothing. What holds for it alone is passed on only while the list is
+// old: a list that the service confirms is a better word on who is there.
+func (n *Node) unreached(m *member) {
+	if n.guessed > 0 {
+		n.heardDead([]Dead{{string(m.id), time.Now()}})
+	}
+}
+
+// heardDead shuns the hosts that were found dead, and passes that on.
+func (n *Node) heardDead(all []Dead) {
+	span, ev := n.shunFor(), wire.Catalog{Revision: n.revision}
+	for _, d := range all {
+		m, left := n.members[brain.ServerID(d.ID)], span-time.Since(d.At)
+		at, known := n.dead[d.ID]
+		if known && !d.At.After(at) || m == nil || m.out || left <= 0 || n.guessed == 0 || len(n.dead) >= mostDead {
+			continue
+		}
+		n.dead[d.ID] = d.At
+		ev.Members = append(ev.Members, m.listed)
+	}
+	if len(ev.Members) > 0 {
+		n.list(&ev, brain.ListChange)
+		n.publish(false)
+	}
+}
+
+// shunned is for how long a host is still to get nothing new because another node found it dead.
+func (n *Node) shunned(id brain.ServerID) time.Duration {
+	if at, ok := n.dead[string(id)]; ok {
+		return max(n.shunFor()-time.Since(at), 0)
+	}
+	return 0
+}
+
+// buried are the hosts found dead of late; older ones are forgotten.
+func (n *Node) buried() (out []Dead) {
+	span := n.shunFor()
+	for id, at := range n.dead {
+		if time.Since(at) >= span {
+			delete(n.dead, id)
+			continue
+		}
+		out = append(out, Dead{id, at})
+	}
+	slices.SortFunc(out, func(a, b Dead) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
 // sure ends the guess at when hosts were started: what is held says so now.
 func (n *Node) sure() {
 	if n.guessed > 0 {
 		n.guessed = 0
+		clear(n.dead)
 		n.list(&wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}, brain.ListFull)
 	}
 }
@@ -193,12 +274,7 @@
 			all = append(all, m.listed)
 		}
 	}
-	slices.SortFunc(all, func(a, b wire.Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b wire.Member) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
 
@@ -210,7 +286,7 @@
 	if s.Part == coldstart.Empty {
 		return
 	}
-	h := &Holding{Service: n.Service(), Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{})}
+	h := &Holding{Service: n.Service(), Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{}), Guessed: n.guessed > 0, Dead: n.buried()}
 	if was != nil && !changed {
 		h.List = was.List
 	} else {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -198,7 +198,7 @@
 	if !r.fleet.Links {
 		return h, nil
 	}
-	k, err := stand.NewLink(h.Addr())
+	k, err := stand.NewLinkAt("127.0.0.1:0", h.Addr(), "link-"+h.ID(), r.Ledger)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/startfaults_test.go
+++ b/internal/rig/startfaults_test.go
@@ -437,6 +437,30 @@
 	}
 }
 
+// Half of the hosts of an old list are gone, and the service is down: one node's dial spares the others theirs.
+func TestDeadHostsOfAnOldListAreFoundByFewDials(t *testing.T) {
+	t.Parallel()
+	const nodes = 24
+	r := prepare(t, startFleet(nodes, func(f *Fleet) { f.List.Unknown, f.Links, f.Hosts = false, true, 6 }))
+	r.Discovery.Answer(stand.Resets)
+	strike(t, r, FaultSpec{What: "refuse", On: "link-h5..h6"})
+	launch(t, r)
+	time.Sleep(time.Second) // all are up, and wait at each other
+	from := r.Clock.Now()
+	all := knocks(t.Context(), r, nodes, 30, 3*time.Second, 10*time.Second)
+	for _, k := range all {
+		if k.Served == 0 {
+			t.Errorf("%+v", k)
+		}
+	}
+	recs, _ := r.Ledger.Records()
+	for _, h := range []string{"link-h5", "link-h6"} {
+		if n := Within(Times(recs, h, stand.Dialled), from, r.Clock.Now()); n == 0 || n > nodes/2 {
+			t.Errorf("%s, which is gone, was dialled %d times by %d nodes, at %v", h, n, nodes, Times(recs, h, stand.Dialled))
+		}
+	}
+}
+
 // What an operator sees of it: the part of the start, where the list came from and how old it is, at the agent.
 func TestOperatorsSeeThePartOfTheStart(t *testing.T) {
 	t.Parallel()
