The control listener over TLS knows its callers' certificates; lists passed on over TLS

Seen: six nodes that pass lists on over TLS were told by nobody, each call was answered that the certificate does not allow it. To blame: control.Server.Serve put the limit of connections around the TLS listener, so that package http saw no TLS connection and every caller passed for one without a certificate; agents were refused alike. The limit lies under TLS now. No test had gone over the real listener. Tests: lists over TLS and a revoked certificate, a node without [coldstart] that starts as before, the call for the list by itself.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -128,6 +128,11 @@
 
 // served runs a server on a Unix socket.
 func served(t *testing.T, f *fake) (path string, c *Client) {
+	t.Helper()
+	return servedBy(t, f)
+}
+
+func servedBy(t *testing.T, f Instance) (path string, c *Client) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), "s")
 	l, err := Local(path)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -93,7 +93,7 @@
 		_ = l.Close()
 		return Listener{}, err
 	}
-	return Listener{l, func(*http.Request) Role { return Operate }}, nil
+	return Listener{netutil.LimitListener(l, mostConns), func(*http.Request) Role { return Operate }}, nil
 }
 
 // Remote listens on TCP with TLS; the certificate of a peer says what it may do.
@@ -102,7 +102,8 @@
 	if err != nil {
 		return Listener{}, err
 	}
-	return Listener{tls.NewListener(l, cfg), func(q *http.Request) Role {
+	// The limit lies under TLS: package http knows a connection's certificates only where it sees it as it is.
+	return Listener{tls.NewListener(netutil.LimitListener(l, mostConns), cfg), func(q *http.Request) Role {
 		if q.TLS == nil {
 			return Nobody
 		}
@@ -118,7 +119,7 @@
 			MaxHeaderBytes: 16 << 10, ErrorLog: zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 			BaseContext: func(net.Listener) context.Context { return ctx }}
 		g.Go(func() error {
-			if err := srv.Serve(netutil.LimitListener(l.Listener, mostConns)); !errors.Is(err, http.ErrServerClosed) {
+			if err := srv.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -50,6 +50,7 @@
 type ColdStart struct {
 	Folder bool `toml:"folder"` // each has a lasting folder
 	Peers  int  `toml:"peers"`  // how many others each is told of, over links that can fail
+	Keys   bool `toml:"keys"`   // over TLS, with certificates of an authority of the rig's, in place of Unix sockets
 }
 
 // Host is what every stand-in host can do; package capacity says what the figures mean.
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -16,6 +16,7 @@
 type process struct {
 	name, zone, addr, config, program string
 	args                              []string // the kind of process, and its flags
+	control                           string   // where it listens for others over TLS; "" for nowhere
 	folder                            string   // what it may keep over its starts; "" for nothing
 	log                               io.Writer
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"onyxstream/internal/keys"
 	"onyxstream/internal/stand"
 	"onyxstream/internal/stand/capacity"
 	"onyxstream/internal/wire"
@@ -102,6 +103,14 @@
 	if r.dir, err = os.MkdirTemp("", "onyxstream-rig"); err != nil {
 		return nil, err
 	}
+	if f.keys() {
+		if err := keys.Create(r.keys(), "rig"); err != nil {
+			return nil, err
+		}
+		if _, err := keys.Issue(r.keys(), looker, keys.Look, time.Hour); err != nil {
+			return nil, err
+		}
+	}
 	for i := range f.Nodes {
 		if err := r.newNode(i); err != nil {
 			return nil, err
@@ -306,6 +315,13 @@
 	}
 	p.addr = l.Addr().String()
 	_ = l.Close()
+	if f.keys() {
+		if l, err = net.Listen("tcp", strings.TrimSuffix(p.addr, p.addr[strings.LastIndex(p.addr, ":"):])+":0"); err != nil {
+			return err
+		}
+		p.control = l.Addr().String()
+		_ = l.Close()
+	}
 	p.config = filepath.Join(r.dir, p.name+".json")
 	r.nodes = append(r.nodes, p)
 	if f.List.Links {
@@ -331,11 +347,34 @@
 // socket is where a process's control listener is.
 func (r *Rig) socket(name string) string { return filepath.Join(r.dir, name+".s") }
 
+// keys is the folder of the rig's authority, and looker the holder under whose certificate nodes ask each other.
+func (r *Rig) keys() string { return filepath.Join(r.dir, "keys") }
+
+const looker = "looker"
+
+func (f *Fleet) keys() bool { return f.ColdStart != nil && f.ColdStart.Keys }
+
+// keyFiles are a holder's files, as a table's fields.
+func (r *Rig) keyFiles(holder string) string {
+	at := func(name string) string { return filepath.Join(r.keys(), name) }
+	return fmt.Sprintf("cert = %q\nkey = %q\nauthority = %q\nrevoked = %q\n", at(holder+".crt"), at(holder+".key"), at("authority.crt"), at("revoked"))
+}
+
 // own writes a node's own configuration; more follows it.
 func (r *Rig) own(p *process, more string) error {
 	text := fmt.Sprintf("[control]\nsocket = %q\n", r.socket(p.name))
+	if p.control != "" {
+		if _, err := keys.Issue(r.keys(), p.name, keys.Instance, time.Hour); err != nil {
+			return err
+		}
+		text += fmt.Sprintf("listen = %q\n[control.keys]\n%s", p.control, r.keyFiles(p.name))
+	}
 	if r.fleet.ColdStart != nil {
-		text += fmt.Sprintf("[coldstart]\nservice = \"rig\"\nfolder = %q\n%s", p.folder, more)
+		text += fmt.Sprintf("[coldstart]\nservice = \"rig\"\nfolder = %q\n", p.folder)
+		if p.control != "" {
+			text += "[coldstart.keys]\n" + r.keyFiles(looker)
+		}
+		text += more
 	}
 	return os.WriteFile(filepath.Join(r.dir, p.name+".toml"), []byte(text), 0o600)
 }
@@ -363,6 +402,14 @@
 // link makes the link between a process and a node's control listener.
 func (r *Rig) link(from, to *process) (addr string, err error) {
 	name := from.name + ">" + to.name
+	if to.control != "" && from.args[0] == "node" {
+		k, err := stand.NewLinkAt("127.0.0.1:0", to.control, name, r.Ledger)
+		if err != nil {
+			return "", err
+		}
+		r.between = append(r.between, k)
+		return k.Addr(), nil
+	}
 	k, err := stand.NewLinkAt("unix:"+filepath.Join(r.dir, strings.Replace(name, ">", "-", 1)+".l"), "unix:"+r.socket(to.name), name, r.Ledger)
 	if err != nil {
 		return "", err
--- a/internal/rig/startfaults_test.go
+++ b/internal/rig/startfaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,6 +12,8 @@
 
 	"onyxstream/internal/coldstart"
 	"onyxstream/internal/conf"
+	"onyxstream/internal/control"
+	"onyxstream/internal/keys"
 	"onyxstream/internal/stand"
 	"onyxstream/internal/wire"
 )
@@ -461,6 +464,49 @@
 	}
 }
 
+// Over TLS with the certificates that stand, lists are passed on as over Unix sockets; a revoked certificate ends that,
+// and its holder asks for itself.
+func TestListsArePassedOnOverTLS(t *testing.T) {
+	t.Parallel()
+	r := prepare(t, startFleet(6, func(f *Fleet) { f.ColdStart.Keys = true }))
+	strike(t, r, FaultSpec{What: "refuse", On: "link-n5..n6"})
+	launch(t, r)
+	allServed(t, r, 6, 1)
+	if _, by := calls(r); by["n1"]+by["n2"]+by["n3"]+by["n4"] == 0 {
+		t.Errorf("nobody who could asked the service: %v", by)
+	}
+	if err := keys.Revoke(r.keys(), looker); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "without a certificate that counts, what n5 holds is old", func() bool {
+		s := r.status(t, 4)
+		return s.List != nil && s.List.State == "old"
+	})
+}
+
+// A node without the table in its own file does as before: it calls for itself at once, passes nothing on and keeps nothing.
+func TestANodeWithoutTheTableStartsAsBefore(t *testing.T) {
+	t.Parallel()
+	const nodes = 8
+	r := prepare(t, startFleet(nodes, func(f *Fleet) { f.ColdStart, f.Agents, f.List.Push, f.List.Unknown = nil, 1, true, false }))
+	launch(t, r)
+	until(t, "each has called", func() bool { _, by := calls(r); return len(by) == nodes })
+	allServed(t, r, nodes, 1)
+	until(t, "the agent hears of all", func() bool { return strings.Count(r.command(t, "instances", "list"), "serving") == nodes })
+	if out := r.command(t, "instances", "list"); strings.Contains(out, "current") {
+		t.Errorf("a part of a start is shown where none is on:\n%s", out)
+	}
+	c, err := control.Dial("unix:"+r.ControlSocket(0), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var refused *control.RemoteError
+	if _, _, err := c.List(t.Context(), "rig", -1, 0, 0, nil); !errors.As(err, &refused) {
+		t.Errorf("a list was passed on, error %v", err)
+	}
+}
+
 // What an operator sees of it: the part of the start, where the list came from and how old it is, at the agent.
 func TestOperatorsSeeThePartOfTheStart(t *testing.T) {
 	t.Parallel()
