Judges name who they count exactly: h1 passed for h1 and h10 to h19

Seen: 837 of 1,500 set-ups at one of 20 cold hosts by the judge's count; it took all names that begin with h1.

--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"onyxstream/internal/stand"
@@ -10,10 +9,10 @@
 
 // Judges over ledgers: what stand-ins and links saw on the rig's one clock, never what processes say of themselves.
 
-// Times picks the times of records of a kind, of those whose name begins with who, in order.
+// Times picks the times of one's records of a kind, in order.
 func Times(recs []stand.Record, who, what string) (out []time.Duration) {
 	for _, r := range recs {
-		if r.What == what && strings.HasPrefix(r.Who, who) {
+		if r.What == what && r.Who == who {
 			out = append(out, r.At)
 		}
 	}
@@ -107,13 +106,7 @@
 // Burst is the largest number of set-ups at one host within a span, and which host that was.
 func Burst(recs []stand.Record, hosts []string, span time.Duration) (most int, host string) {
 	for _, h := range hosts {
-		var times []time.Duration
-		for _, r := range recs {
-			if r.Who == h && r.What == stand.Opened {
-				times = append(times, r.At)
-			}
-		}
-		if n := Most(times, span); n > most {
+		if n := Most(Times(recs, h, stand.Opened), span); n > most {
 			most, host = n, h
 		}
 	}
