A kept drain is not passed on, and ends with the service's own word

Read again: a node that kept a drain against a list passed on showed others its own stricter list under the service's number, and whoever had no word of the drain held it for as long as the list did not change. The service was asked for what changed after that number, which tells nothing of it; and the wish to ask was lost with a call that failed, or was out (seen by two processes: the host was never used again). Passed on is what the service told; the whole list is asked for, until the service has told.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -87,14 +87,13 @@
 	rest   time.Duration // what calls lie apart since they fail; 0 while they don't
 	not    time.Duration // no call before, by the service's own word
 	heard  time.Duration // when another node last answered
-	begun  time.Duration
 	calls  int
 	failed int
 }
 
 // New begins a start. held says what is known already: its source is Nowhere where nothing is.
 func New(cfg Config, rng *rand.Rand, now time.Duration, source Source, held Offer) *Start {
-	s := &Start{cfg: cfg, rng: rng, begun: now, heard: now}
+	s := &Start{cfg: cfg, rng: rng, heard: now}
 	if source != Nowhere && held.Hosts > 0 {
 		s.known, s.source, s.revision, s.confirmed = true, source, held.Revision, now-held.Age
 	}
@@ -124,7 +123,7 @@
 	if now < s.due || now < s.not {
 		return false
 	}
-	s.plan, s.must, s.out, s.told = false, false, true, false
+	s.plan, s.out, s.told = false, true, false
 	s.calls++
 	return true
 }
@@ -170,7 +169,7 @@
 func (s *Start) Told(now time.Duration, revision int64, hosts int) {
 	s.known = s.known || hosts > 0
 	s.source, s.revision, s.confirmed = Service, revision, now
-	s.told, s.rest, s.not = true, 0, 0
+	s.told, s.must, s.rest, s.not = true, false, 0, 0
 }
 
 // Beat says that the watch stands: what is held is confirmed. It reports whether it is.
@@ -193,8 +192,9 @@
 // Doubt has the node ask the service itself, whoever else tells it.
 func (s *Start) Doubt(now time.Duration) {
 	if !s.out && !s.must {
-		s.must, s.plan, s.due = true, true, max(now, s.not)+s.jitter(s.span(now))
+		s.plan, s.due = true, max(now, s.not)+s.jitter(s.span(now))
 	}
+	s.must = true // until the service has told: a call that is out, or the next one, may fail
 }
 
 // Heard says that another node answered, whatever it had to tell.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -603,5 +603,9 @@
 func (n *Node) watch() {
 	n.watching = true
 	n.call++
-	n.outside.Watch(Call{N: n.call, Addr: n.discovery, After: n.revision})
+	after := n.revision
+	if n.doubt {
+		after = Whole
+	}
+	n.outside.Watch(Call{N: n.call, Addr: n.discovery, After: after})
 }
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -22,6 +22,9 @@
 	start   *coldstart.Start
 	service atomic.Pointer[string] // the name that all nodes know the list service by
 	part    coldstart.Part
+	// doubt says that a drain is kept which a list that was passed on has lifted: the service is asked for the whole list,
+	// as what has changed since that list's number would not tell of it.
+	doubt bool
 	// guessed is when hosts pass for started, Unix time in milliseconds, while the list is one that nobody has confirmed
 	// since this node's start: it can't tell which were started with it, and all are, after a power cut. 0 for not.
 	guessed int64
@@ -66,9 +69,9 @@
 	n.service.Store(&service)
 	if n.start.State(n.now()).Part == coldstart.Old {
 		n.guessed = n.base.UnixMilli()
-		n.list(&wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}, brain.ListCached)
+		n.list(n.whole(), brain.ListCached)
 	}
-	n.publish(true)
+	n.publish(n.whole())
 	n.step()
 }
 
@@ -125,7 +128,7 @@
 		n.watch()
 	}
 	if h := n.holding.Load(); h != nil && len(n.buried()) < len(h.Dead) {
-		n.publish(false) // hosts found dead long ago are to be tried again, here and by those who are told
+		n.publish(nil) // hosts found dead long ago are to be tried again, here and by those who are told
 	}
 	n.step()
 }
@@ -138,7 +141,7 @@
 	switch e.kind {
 	case evBeat:
 		if e.call == n.call && n.start.Beat(n.now()) {
-			n.publish(false)
+			n.publish(nil)
 		}
 	case evHeard:
 		n.start.Heard(n.now())
@@ -159,9 +162,10 @@
 	if n.start == nil {
 		return
 	}
+	n.doubt = false
 	n.start.Told(n.now(), n.revision, len(n.listed()))
 	n.sure()
-	n.publish(true)
+	n.publish(n.whole())
 	n.step()
 }
 
@@ -180,19 +184,22 @@
 		n.log.Debug("a list that was passed on is of no use", zap.String("from", p.From), zap.String("why", why))
 		return false
 	case coldstart.Take:
+		told := *p.List // what is passed on is the service's word, not what this node makes of it
 		held := n.keepDrains(p.List)
 		n.log.Info("a list was passed on", zap.String("from", p.From), zap.Int64("revision", p.Offer.Revision),
 			zap.Duration("age", p.Offer.Age), zap.Int("hosts", len(p.List.Members)), zap.Int("drains kept", held))
 		n.list(p.List, brain.ListFull)
 		n.revision = p.Offer.Revision
 		if held > 0 { // the service is to say whether they are over
+			n.doubt = true
 			n.start.Doubt(now)
 		}
+		n.publish(&told)
 	}
 	if n.start.State(now).Part == coldstart.Current {
 		n.sure()
 	}
-	n.publish(verdict == coldstart.Take)
+	n.publish(nil)
 	return true
 }
 
@@ -231,7 +238,7 @@
 	}
 	if len(ev.Members) > 0 {
 		n.list(&ev, brain.ListChange)
-		n.publish(false)
+		n.publish(nil)
 	}
 }
 
@@ -262,7 +269,7 @@
 	if n.guessed > 0 {
 		n.guessed = 0
 		clear(n.dead)
-		n.list(&wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}, brain.ListFull)
+		n.list(n.whole(), brain.ListFull)
 	}
 }
 
@@ -291,8 +298,13 @@
 	return all
 }
 
-// publish shows what is held to those who pass it on and keep it: with other hosts than before, or only confirmed.
-func (n *Node) publish(changed bool) {
+// whole is the list as this node holds it.
+func (n *Node) whole() *wire.Catalog {
+	return &wire.Catalog{Revision: n.revision, Complete: true, Members: n.listed()}
+}
+
+// publish shows what is held to those who pass it on and keep it: another list, or nil where the same was confirmed.
+func (n *Node) publish(list *wire.Catalog) {
 	now := n.now()
 	s := n.start.State(now)
 	was := n.holding.Load()
@@ -300,10 +312,13 @@
 		return
 	}
 	h := &Holding{Service: n.Service(), Source: s.Source, Confirmed: time.Now().Add(-s.Age), Fresh: make(chan struct{}), Guessed: n.guessed > 0, Dead: n.buried()}
-	if was != nil && !changed {
+	switch {
+	case list != nil:
+		h.List = *list
+	case was != nil:
 		h.List = was.List
-	} else {
-		h.List = wire.Catalog{Revision: s.Revision, Complete: true, Members: n.listed()}
+	default:
+		h.List = *n.whole()
 	}
 	n.holding.Store(h)
 	if was != nil {
--- a/internal/node/starting_test.go
+++ b/internal/node/starting_test.go
@@ -60,6 +60,35 @@
 	}
 }
 
+// A drain that is kept against a list that was passed on is this node's own: passed on as the service's word it held at
+// others, whom nothing made ask, for as long as the list did not change.
+func TestAKeptDrainIsNotPassedOn(t *testing.T) {
+	n, out := starts(t, true)
+	c := <-out.calls
+	h1 := wire.Member{ID: "h1", Addr: "127.0.0.1:1", Size: 1, Phase: wire.Draining}
+	n.Listed(c.N, &wire.Catalog{Revision: 5, Complete: true, Members: []wire.Member{h1}})
+	n.WatchFailed(c.N, 0)
+	h1.Phase = wire.Serving
+	if !n.PassedOn(Passed{Offer: coldstart.Offer{Service: "s", Revision: 6}, At: time.Now(),
+		List: &wire.Catalog{Revision: 6, Complete: true, Members: []wire.Member{h1}}}) {
+		t.Fatal("the newer list is of no use")
+	}
+	if v := n.View(); len(v.Hosts) != 1 || v.Hosts[0].State != brain.Draining {
+		t.Errorf("the drain is lifted: %+v", v.Hosts)
+	}
+	if m := n.Holding().List; m.Revision != 6 || m.Members[0].Phase != wire.Serving {
+		t.Errorf("passed on is %+v", m)
+	}
+	select {
+	case c := <-out.calls:
+		if c.After != Whole {
+			t.Errorf("the service is asked for what changed after %d: that does not tell of the drain", c.After)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the service is not asked")
+	}
+}
+
 // Without a cold start nothing is held for others, and beats and words of others do nothing.
 func TestNothingIsHeldWithoutAColdStart(t *testing.T) {
 	n, out := starts(t, false)
--- a/internal/rig/startfaults_test.go
+++ b/internal/rig/startfaults_test.go
@@ -188,7 +188,7 @@
 	if err := r.KnowsOne(1, 6, append(rest, serving)...); err != nil {
 		t.Fatal(err)
 	}
-	strike(t, r, FaultSpec{What: "refuse", On: "link-n1..n2"})
+	heal := strike(t, r, FaultSpec{What: "refuse", On: "link-n1..n2"})
 	launch(t, r)
 	until(t, "n1 is passed n2's list", func() bool { return r.status(t, 0).Revision == 6 })
 	from := r.Clock.Now()
@@ -200,6 +200,14 @@
 	if n := setUps(r, from)[hosts[0].ID()]; n > 0 {
 		t.Errorf("the host that drains was sent %d clients", n)
 	}
+	// The service itself says that it serves, under the number that n1 holds already: the drain is over.
+	r.Discovery.Restore(6, append(rest, serving)...)
+	heal()
+	until(t, "the host is used again by n1", func() bool {
+		from := r.Clock.Now()
+		r.Knocks(t.Context(), 0, 10, 0, 200*time.Millisecond, 2*time.Second)
+		return setUps(r, from)[hosts[0].ID()] > 0
+	})
 }
 
 // A folder keeps the list over a kill; what is of another service, cut short or from the future does no harm.
