No repeat is written past the time in which repeats are dropped

Cause: the module chose a repeat within the window of its class, but the dial may come up later than that: the loop's last word before the first byte (evConnected) looked at the drain's grace and not at the window. Change: the loop keeps when the first attempt was sent that may have run, and refuses the line 20 ms before the window's end; the attempt counts as never passed. TestNoRepeatIsWrittenPastItsWindow fails without.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -35,6 +35,8 @@
 	// A dial may come up just before the grace ends; between the loop's word and the first byte lies the
 	// connection's own turn on a busy core.
 	graceMargin = 20 * time.Millisecond
+	// repeatMargin is the same at the end of the time in which repeats are dropped.
+	repeatMargin = graceMargin
 	// forgetAfter is how long a member that is gone keeps its address, for attempts under way.
 	forgetAfter = time.Minute
 )
@@ -96,6 +98,21 @@
 	return m.state == brain.Live || time.Since(m.toldAt) < n.set.DrainGrace-graceMargin
 }
 
+// repeatable reports whether an attempt may still be written where an earlier one may have run: the module chose it within
+// the time in which repeats are dropped, and the dial may have taken longer than that had left.
+func (n *Node) repeatable(r *request) bool {
+	if r.mayHave.IsZero() || r.class < 0 {
+		return true
+	}
+	switch c := n.set.Classes[r.class]; c.Effect {
+	case brain.Safe:
+		return true
+	case brain.Keyed:
+		return time.Since(r.mayHave) < c.Window-repeatMargin
+	}
+	return false
+}
+
 const (
 	tickEvery = 250 * time.Millisecond
 	noteEvery = 4 // ticks: the simulator tells of slow messages once a second
@@ -278,8 +295,10 @@
 	}
 }
 
-// rewatch is how long a node waits before it watches again where the list need not be asked for; nodes
-// that lost it together come back apart.
+// WatchAgain is the longest that a node waits before it watches again where the list need not be asked for.
+const WatchAgain = 300*time.Millisecond + 7*50*time.Millisecond + tickEvery
+
+// rewatch is how long it does, but for the tick that comes then; nodes that lost it together come back apart.
 func rewatch(index int) time.Duration {
 	return 300*time.Millisecond + time.Duration(index%8)*50*time.Millisecond
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,10 @@
 	mid      bool   // open elsewhere already when it came: no new work
 	silent   bool   // a message of it waited too long when last looked at
 	told     uint64 // messages of it that were counted
+
+	class   int       // its index in the settings, or -1
+	sentAt  time.Time // when the last attempt was sent
+	mayHave time.Time // when the first attempt was sent that may have run; zero while none has
 }
 
 // The events of connections and discovery, as one flat type: a report of load costs no memory.
@@ -361,7 +365,7 @@
 		n.arrive(e, r)
 	case evResume:
 		if r == nil {
-			r = &request{port: e.port, answered: true}
+			r = &request{port: e.port, answered: true, class: -1}
 			n.reqs[e.id] = r
 		}
 		at := place{ok: r.port == e.port}
@@ -383,7 +387,7 @@
 		}
 	case evConnected:
 		if r != nil {
-			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && !n.ended && n.sendable(r.on) && (r.mid || !n.late()))
+			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && !n.ended && n.sendable(r.on) && n.repeatable(r) && (r.mid || !n.late()))
 		}
 	case evOpened:
 		if r != nil && r.out && !r.up && e.attempt == r.attempts-1 {
@@ -479,7 +483,7 @@
 		e.port.Fail()
 		return
 	}
-	n.reqs[e.id] = &request{port: e.port, mid: e.opening.Mid}
+	n.reqs[e.id] = &request{port: e.port, mid: e.opening.Mid, class: a.Class}
 	n.owed.Add(1)
 	n.decide(a)
 }
@@ -502,6 +506,9 @@
 
 func (n *Node) settle(e event, r *request) {
 	r.out = false
+	if r.mayHave.IsZero() && !e.outcome.ProvesUnrun() {
+		r.mayHave = r.sentAt
+	}
 	if e.outcome == brain.NoConnect || e.outcome == brain.Reset && !r.up {
 		n.unreached(r.on)
 	}
@@ -593,7 +600,7 @@
 		n.queue = append(n.queue, brain.Settled{ID: a.ID, Attempt: at, Server: a.Server, Outcome: brain.NeverPassed})
 		return
 	}
-	r.on, r.out = m, true
+	r.on, r.out, r.sentAt = m, true, time.Now()
 	r.port.Send(Attempt{N: at, Host: m.id, Addr: m.addr, Timeout: a.Timeout})
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -746,3 +746,43 @@
 		t.Error("an ended loop answers")
 	}
 }
+
+// A repeat is dropped only so long after the first attempt: one whose dial came up later than that must not be written,
+// whenever it was chosen.
+func TestNoRepeatIsWrittenPastItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect brain.Effect
+		first  brain.Outcome
+		past   bool // the window is over as the second dial comes up
+		want   string
+	}{
+		{"in time", brain.Keyed, brain.NoAnswer, false, "go 1 true"},
+		{"late", brain.Keyed, brain.NoAnswer, true, "go 1 false"},
+		{"late, but the first never ran", brain.Keyed, brain.NoConnect, true, "go 1 true"},
+		{"late, of a safe class", brain.Safe, brain.NoAnswer, true, "go 1 true"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			window := time.Hour
+			if c.past {
+				window = 100 * time.Millisecond
+			}
+			set := testSettings()
+			set.Classes[0].Effect, set.Classes[0].Window = c.effect, window
+			known := wire.Catalog{Revision: 7, Complete: true, Members: []wire.Member{entry("s1", wire.Serving), entry("s2", wire.Serving)}}
+			n := New(set, known, "d:1", &world{}, zap.NewNop())
+			p := arrive(t, n, "r")
+			n.take(settled("r", 0, c.first))
+			if len(p.sent) != 2 {
+				t.Fatalf("sent to %v", p.sent)
+			}
+			if c.past { // the dial is held until the window is over
+				time.Sleep(window)
+			}
+			n.take(event{kind: evConnected, id: "r", attempt: 1})
+			if !strings.HasSuffix(p.heard(), c.want) {
+				t.Errorf("%s; want %s", p.heard(), c.want)
+			}
+		})
+	}
+}
