--- a/brain/api.go
+++ b/brain/api.go
@@ -11,6 +11,11 @@
 	RequestID string
 )
 
+// AskAgain is the longest time between the end of a call to the server list that failed and the wish for the next one
+// (Watch), whatever failed before and however many nodes there are: what the list has is to be known 6 s after it could be
+// reached, of which 3 s may go into a call that is lost just then.
+const AskAgain = 2500 * time.Millisecond
+
 // Effect says how safely a request of a class may be repeated.
 type Effect uint8
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -63,7 +63,7 @@
 	b.now, b.out = now, b.out[:0]
 	if !b.sweeping {
 		b.sweeping, b.secondAt, b.born = true, now, now
-		b.askNotBy = now + b.jitter(b.apart(b.set.AskWithin/20))
+		b.askNotBy = now + b.jitter(min(b.apart(b.set.AskWithin/20), AskAgain*8/5))
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
 	b.table.progress(now, b.set.DrainGrace*9/10, len(b.reqs) == 0) // the rest is for the way out of the node
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -22,10 +22,10 @@
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that every
 // node that is told of a version changes its table alike.
 func (b *Brain) listed(e ListEvent) {
-	if e.Kind == ListFailed { // back off with jitter, doubling, well within the time allowed
+	if e.Kind == ListFailed { // back off with jitter, doubling, never past AskAgain
 		b.asking, b.watching = false, false
-		b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4)
-		b.askNotBy = b.now + b.backoff/2 + b.jitter(b.apart(b.backoff))
+		b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4, AskAgain/2)
+		b.askNotBy = b.now + b.backoff/2 + b.jitter(min(b.apart(b.backoff), AskAgain*3/5))
 		return
 	}
 	if e.Kind != ListAside { // a word of an operator before the first list must not pass for a watch
--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -52,10 +52,10 @@
 // Outcome puts the error in the module's terms.
 func (e *AttemptError) Outcome() brain.Outcome {
 	switch {
+	case e.Stage == Asking, e.Stage < Awaiting && errors.Is(e.Err, errWithdrawn):
+		return brain.NeverPassed // nobody's fault, and the host never had its last byte
 	case errors.Is(e.Err, errWithdrawn):
 		return brain.Cancelled
-	case e.Stage == Asking:
-		return brain.NeverPassed
 	case e.Stage < Awaiting:
 		return brain.NoConnect
 	case errors.Is(e.Err, errFull):
@@ -96,6 +96,10 @@
 	if err := may(); err != nil {
 		return fail(Asking, err)
 	}
+	// The last look before the first byte: it may have been withdrawn while the loop said that it may go.
+	if err := ctx.Err(); err != nil {
+		return fail(Asking, err)
+	}
 	// Setting the deadline wakes whatever read or write is under way.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	line := o.Forward(time.Until(by))
--- /dev/null
+++ b/internal/driver/closing.go
@@ -0,0 +1,100 @@
+package driver
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"onyxstream/internal/wire"
+)
+
+// Here are the ways in which a client's connection ends, and what each promises. A close over bytes that were not read
+// sends a reset, and what was written before may be lost to the client with it; so nothing here closes before it has
+// read what has come, but for reset.
+//
+//   - finish: the line is written whole, then FIN. What the client still says is read and dropped until it ends its side,
+//     for half a second and 64 KiB at most.
+//   - linger: the same without a line.
+//   - part company with farewell: the line, FIN, what has come is read, and the close at once, where no goroutine may
+//     wait for the client. What comes later meets a closed connection.
+//   - reset: nothing is promised. It passes on a reset from the other side, or ends what was broken.
+
+// finish gives the client a line as its last word and ends the connection by FIN.
+func (c *conn) finish(line string) {
+	_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
+	_, _ = io.WriteString(c.client, line)
+	c.linger()
+}
+
+// linger ends the node's side and waits for the client's end, but reads no flood.
+func (c *conn) linger() {
+	c.d.dismiss(c)
+	_ = c.client.CloseWrite()
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
+	_ = c.client.SetReadDeadline(time.Now().Add(lingerFor))
+	buf := wire.GetBuffer()
+	defer buf.Free()
+	for read := 0; read < mostLinger; {
+		n, err := c.client.Read(buf[:])
+		if read += n; err != nil {
+			return
+		}
+	}
+}
+
+// farewell gives a client a line as its last word, "" for none, and closes the connection without waiting for anything.
+func farewell(client *net.TCPConn, line string) {
+	_ = client.SetWriteDeadline(time.Now().Add(turn))
+	if line != "" {
+		_, _ = io.WriteString(client, line)
+	}
+	_ = client.CloseWrite()
+	buf := wire.GetBuffer()
+	defer buf.Free()
+	for read := 0; read < mostLinger; {
+		n, err := arrived(client, buf[:])
+		if read += n; n == 0 || err != nil {
+			break
+		}
+	}
+	_ = client.Close()
+}
+
+// arrived reads what has come on a connection already, whatever its deadlines say. Nothing has where n is 0 and there is
+// no error; the end of the other side is io.EOF. Beside a read that waits on the same connection either of the two gets it.
+func arrived(c *net.TCPConn, into []byte) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if over := raw.Control(func(fd uintptr) {
+		for {
+			if n, err = unix.Read(int(fd), into); err != unix.EINTR {
+				return
+			}
+		}
+	}); over != nil {
+		return 0, over
+	}
+	switch {
+	case err == unix.EAGAIN:
+		return 0, nil
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// stopReading ends upward, so that the client's last bytes are read by linger alone.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+	_ = c.client.SetReadDeadline(past)
+}
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,14 +139,13 @@
 }
 
 // bow ends a connection with the driver, whose mutex is held: one that is up is reset, or left where packets pass
-// through, one that is owed its answer is given it by drive, and any other has had its last word or asked for nothing.
+// through. Any other ends by its own goroutine, which alone knows what was read: one that is owed its answer is given it
+// by drive; one that has not said whole what it wants may have by now, and is heard out by hello.
 func (c *conn) bow(pass bool) {
 	switch up := c.isUp(); {
 	case up && pass:
 	case up || c.charged && c.open.At != "":
 		c.abort()
-	case !c.charged:
-		_ = c.client.Close()
 	default:
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -155,9 +153,19 @@
 		if c.withdraw != nil {
 			c.withdraw()
 		}
+		if !c.charged && !c.over {
+			_ = c.client.SetReadDeadline(past)
+		}
 	}
 }
 
+// bows reports whether the driver ends, and the connection with it.
+func (c *conn) bows() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bowed
+}
+
 // isUp reports whether a host holds the connection.
 func (c *conn) isUp() bool {
 	c.mu.Lock()
@@ -181,8 +189,15 @@
 		return
 	case !within:
 		c.count(refused)
-		c.d.log.Info("a client is refused: the sockets are used up")
-		c.finish(wire.Busy(min(time.Second, c.d.cfg.MaxRetryAfter)))
+		c.d.log.Info("a client is refused: the sockets are used up, or the node ends")
+		c.finish(c.d.comeAgain())
+		return
+	}
+	if !c.look(&in) {
+		c.count(failed)
+		if c.half.Load() { // it may still read
+			c.finish(wire.Err)
+		}
 		return
 	}
 	var reader sync.WaitGroup
@@ -208,19 +223,15 @@
 // runs from the start, or the last PING, whatever comes meanwhile: one that trickles would hold its descriptor as long
 // as it likes. A front may keep its connection and ask on it for as long as it does so at a pace.
 func (c *conn) hello(in *wire.Inbox) bool {
-	_ = c.client.SetReadDeadline(c.since.Add(firstLine))
-	last := time.Time{} // when it asked before
-	for pings := 0; ; {
+	c.hearUntil(c.since.Add(firstLine))
+	var asks asking
+	for late := false; ; {
 		line, ok, err := in.Next()
 		if err == nil && !ok {
-			c.met.Store(true)
-			n, err := c.client.Read(in.Space())
-			if in.Fed(n); n == 0 && err != nil {
-				return false
+			if c.hear(in, &late) {
+				continue
 			}
-			c.rests.Store(false)
-			c.begun.Store(true)
-			continue
+			return false
 		}
 		var kind wire.Hello
 		if err == nil {
@@ -229,13 +240,7 @@
 		switch {
 		case err != nil:
 		case kind == wire.HelloPing:
-			now := time.Now()
-			if hasty := len(in.Rest()) > 0 || now.Sub(last) < turn; hasty {
-				pings++
-			}
-			if last = now; pings > mostPings {
-				err = errors.New("too many PINGs")
-			}
+			err = asks.again(time.Now(), len(in.Rest()) > 0)
 		case !c.d.node.Knows(&c.open):
 			err = errors.New("a class or a tenant that the settings lack")
 		case len(in.Rest()) > 0 && !c.open.Mid:
@@ -255,7 +260,8 @@
 			if _, err := io.WriteString(c.client, pong); err != nil || !c.d.asked(c) {
 				return false
 			}
-			_ = c.client.SetReadDeadline(last.Add(firstLine))
+			late = false
+			c.hearUntil(asks.last.Add(firstLine))
 			c.rests.Store(len(in.Rest()) == 0)
 			c.begun.Store(len(in.Rest()) > 0)
 		default:
@@ -268,452 +274,54 @@
 	}
 }
 
-// drive waits for the loop's word, makes the attempts and, once up, copies to the client.
-func (c *conn) drive(until time.Time) {
-	final := false     // the client has had its answer, or has left
-	said := false      // it has had its answer from here
-	taken, out := 0, 0 // sends taken from the loop, and how many of them owe an outcome
-	defer func() {
-		p := recover()
-		if p != nil {
-			c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.String("request", c.open.ID),
-				zap.ByteString("stack", debug.Stack()))
-			c.mu.Lock()
-			if c.host != nil {
-				// It was up: an answer of this node's own would stand among the host's lines.
-				final = true
-				reset(c.host)
-				reset(c.client)
-			}
-			c.mu.Unlock()
-		}
-		if !final || p != nil {
-			c.d.node.Gone(c.id, c, taken)
-		}
-		if out > 0 {
-			c.d.node.Settled(c.id, c, taken-1, 0, brain.Reset)
-		}
-		c.mu.Lock()
-		spoke := c.spoke
-		c.mu.Unlock()
-		if spoke && !said {
-			c.d.log.Info("a client's first line can't be served", zap.Error(errSpoke))
-		}
-		switch {
-		case !final || spoke && !said:
-			c.count(failed)
-			c.finish(wire.Err)
-		case c.half.Load() && !said:
-			// It has ended its side and may still read: its request is answered like any other.
-			_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
-			_, _ = io.WriteString(c.client, wire.Err)
-		}
-	}()
-	if c.open.At != "" {
-		final = c.resume(&taken, &out)
-		return
-	}
-	backstop := time.NewTimer(max(time.Until(until), 0) + c.d.cfg.AnswerSlack)
-	defer backstop.Stop()
-	c.d.node.Arrive(&c.open, until, c)
-	for {
-		select {
-		case <-c.gone:
-			final = true
-			c.d.node.Gone(c.id, c, taken)
-			return
-		case <-c.d.ending:
-			// The loop has answered before that whatever it knew of.
-			c.d.log.Info("a request was answered as the node ended", zap.String("request", c.open.ID))
-			return
-		case <-backstop.C:
-			// The module answers in time; this is for what it never heard of, or what failed on the way.
-			c.d.log.Info("a request was answered by the backstop", zap.String("request", c.open.ID))
-			return
-		case cmd := <-c.cmds:
-			if cmd.send == nil {
-				final, said = true, true
-				if cmd.reply == wire.Err {
-					c.count(failed)
-				} else {
-					c.count(refused)
-				}
-				c.finish(cmd.reply)
-				return
-			}
-			taken, out = cmd.send.N+1, 1
-			a := *cmd.send
-			a.Timeout = min(a.Timeout, time.Until(until)+c.d.cfg.AnswerSlack) // the backstop, while an attempt is out
-			final = c.send(a)
-			if out = 0; final {
-				return
-			}
-		}
-	}
-}
-
-// send makes one attempt and, where it comes up, is the rest of the connection's life. It reports whether the
-// client has had its answer or has left.
-func (c *conn) send(a node.Attempt) (final bool) {
-	start := time.Now()
-	var in wire.Inbox
-	host, upLine, failed := c.try(a, &in)
-	took := time.Since(start)
-	if failed == nil && !c.raise(host) {
-		_ = host.Close()
-		failed = &AttemptError{Answering, errWithdrawn}
-	}
-	if failed == nil {
-		c.d.log.Debug("a connection is up", zap.String("request", c.open.ID), zap.String("host", a.Addr),
-			zap.Duration("took", took), zap.Bool("mid", c.open.Mid), zap.Bool("again", c.open.Again),
-			zap.String("key", c.open.Key), zap.String("group", c.open.Group), zap.Int("attempt", a.N))
-		c.count(brought)
-		c.d.node.Opened(c.id, c, a.N, took)
-		c.relay(host, &in, upLine, a.N, start)
-		return true
-	}
-	in.Free()
-	c.d.log.Debug("an attempt failed", zap.String("request", c.open.ID), zap.String("host", a.Addr),
-		zap.Duration("took", took), zap.Error(failed))
-	select {
-	case <-c.gone: // first, so that the module tries no other host for a client that has left
-		final = true
-		c.d.node.Gone(c.id, c, a.N+1)
-	default:
-	}
-	c.d.node.Settled(c.id, c, a.N, took, failed.Outcome())
-	return final
-}
-
-// try makes one attempt that the loop, or the client by leaving, can withdraw.
-func (c *conn) try(a node.Attempt, in *wire.Inbox) (*net.TCPConn, []byte, *AttemptError) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	c.mu.Lock()
-	c.withdraw, c.running, c.on = cancel, a.N, string(a.Host)
-	if c.aborted || c.bowed {
-		cancel()
-	}
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		c.withdraw = nil
-		c.mu.Unlock()
-	}()
-	select {
-	case <-c.gone:
-		cancel()
-	default:
-	}
-	select {
-	case <-c.verdict: // an answer to an attempt that did not wait for it
-	default:
-	}
-	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error {
-		c.d.node.Connected(c.id, c, a.N)
-		select {
-		case ok := <-c.verdict:
-			if !ok {
-				return errTooLate
-			}
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}, in)
-}
-
-// raise marks the connection as up; false where the client has left or the node ends.
-func (c *conn) raise(host *net.TCPConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	select {
-	case <-c.gone:
-		return false
-	default:
-	}
-	if c.aborted || c.bowed {
-		return false
-	}
-	_ = host.SetDeadline(time.Time{})
-	c.host = host
-	close(c.up)
-	return true
-}
-
-const (
-	resumeFor   = 30 * time.Second // how long a connection that stood before the run is tried to be taken up
-	resumePause = 250 * time.Millisecond
-)
-
-// resume takes up a connection that stood at its host before the run: its line goes there and nowhere
-// else. The host may not be ready yet, so what never reached it is tried again. It reports whether the
-// client has had its answer.
-func (c *conn) resume(taken, out *int) bool {
-	by := time.Now().Add(resumeFor)
-	for time.Now().Before(by) {
-		addr, ok := c.d.node.Resume(&c.open, c)
-		if !ok {
-			c.d.log.Info("a connection's id is held already")
-			return false
-		}
-		if addr == "" && c.pause() {
-			continue // the list may yet name it
-		} else if addr == "" {
-			c.d.node.Gone(c.id, c, 0)
-			return true
-		}
-		var in wire.Inbox
-		start := time.Now()
-		ctx, cancel := context.WithCancel(context.Background())
-		c.mu.Lock()
-		c.withdraw, c.running, c.on = cancel, 0, c.open.At
-		c.mu.Unlock()
-		host, upLine, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: max(c.open.Wait, c.d.cfg.Patience)},
-			&c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error { return nil }, &in)
-		cancel()
-		if failed == nil {
-			if !c.raise(host) {
-				_ = host.Close()
-				c.d.node.Gone(c.id, c, 0)
-				return true
-			}
-			*taken, *out = 1, 1
-			c.count(brought)
-			c.d.node.Inherit(&c.open, c)
-			c.relay(host, &in, upLine, 0, start)
-			*out = 0
-			return true
-		}
-		in.Free()
-		c.d.log.Info("a connection could not be taken up", zap.String("host", c.open.At), zap.Error(failed))
-		if failed.Outcome() != brain.NoConnect {
-			break
-		}
-		if !c.pause() {
-			c.d.node.Gone(c.id, c, 0)
-			return true
-		}
-	}
-	return false
-}
-
-// pause waits before the next try; false when the client has left.
-func (c *conn) pause() bool {
-	select {
-	case <-c.gone:
-		return false
-	case <-time.After(resumePause):
+// hear reads more of the first line. Once the time for it is over, or the node ends, what has come by then is still read,
+// once (late says that it was): its last byte may have come in that very moment, and a close over it would lose a request
+// with no answer. Who has asked for nothing then is left by FIN, and one in the middle of its line is told to come again
+// where the node ends. False when there is nothing more to do.
+func (c *conn) hear(in *wire.Inbox, late *bool) bool {
+	c.met.Store(true)
+	n, err := c.client.Read(in.Space())
+	over := n == 0 && timedOut(err)
+	if over && !*late {
+		*late = true
+		n, err = arrived(c.client, in.Space())
+	}
+	switch in.Fed(n); {
+	case n > 0:
+		c.rests.Store(false)
+		c.begun.Store(true)
 		return true
-	}
-}
-
-// finish gives the client a line as its last word and ends the connection by FIN. What the client may
-// still say is read for a moment: closing on unread bytes would send a reset after the answer.
-func (c *conn) finish(line string) {
-	_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
-	_, _ = io.WriteString(c.client, line)
-	c.linger()
-}
-
-// linger ends the node's side and waits for the client's end, but reads no flood.
-func (c *conn) linger() {
-	c.d.dismiss(c)
-	_ = c.client.CloseWrite()
-	c.mu.Lock()
-	c.over = true
-	c.mu.Unlock()
-	_ = c.client.SetReadDeadline(time.Now().Add(lingerFor))
-	buf := wire.GetBuffer()
-	defer buf.Free()
-	for read := 0; read < mostLinger; {
-		n, err := c.client.Read(buf[:])
-		if read += n; err != nil {
-			return
-		}
-	}
-}
-
-// relay passes lines from the host to the client until one side ends, and ends the other alike.
-func (c *conn) relay(host *net.TCPConn, first *wire.Inbox, upLine []byte, attempt int, start time.Time) {
-	r := wire.Relay{Inbox: *first}
-	defer r.Free()
-	var err error
-	if len(upLine) > 0 {
-		_, err = c.client.Write(upLine)
-	}
-	stuck := err != nil // the client does not take what is for it
-	for err == nil {
-		chunk, seen := r.Whole()
-		if seen.Lines > 0 {
-			if since := c.waiting.Swap(0); since != 0 {
-				took := nanos(time.Now()) - since
-				c.took.Store(took)
-				c.longest = max(c.longest, time.Duration(took))
-				c.answered.Add(1)
-			}
-		}
-		if seen.Load > 0 {
-			c.load = seen.Load
-			c.d.node.Load(c.id, c, seen.Load)
-		}
-		if len(chunk) > 0 {
-			_, err = c.client.Write(chunk)
-			stuck = err != nil
-			continue
-		}
-		var n int
-		n, err = host.Read(r.Space())
-		r.Fed(n)
-		if n > 0 {
-			err = nil
-		}
-		if err != nil && timedOut(err) {
-			goOn, handed := c.rest(host, true, func(p *parking) {
-				p.partial, p.torn, p.load = append([]byte(nil), r.Rest()...), !r.Between() || r.Ending(), c.load
-			})
-			if handed {
-				c.handOver(host, attempt, start)
-				return
-			}
-			if goOn {
-				err = nil
-			}
-		}
-	}
-	c.part(host, &r, err, stuck, attempt, start)
-}
-
-// part ends both sides after the relay has: err is what ended it.
-func (c *conn) part(host *net.TCPConn, r *wire.Relay, err error, stuck bool, attempt int, start time.Time) {
-	outcome := brain.Reset
-	left := c.leftFIN.Load() || c.leftRST.Load()
-	switch {
-	case r.Last() == wire.AnswerBye:
-		outcome = brain.Served
-	case r.Last() == wire.AnswerMove || left || c.moving.Load():
-		outcome = brain.Cancelled
-	}
-	if c.leftRST.Load() {
-		reset(host)
-	} else {
-		_ = host.Close()
-	}
-	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
-		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
-		zap.Duration("longest answer", c.longest),
-		zap.Error(err))
-	c.d.node.Settled(c.id, c, attempt, time.Since(start), outcome)
-	switch {
-	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
-		c.stopReading()
-		c.finish(wire.Move)
-	case errors.Is(err, io.EOF):
-		_, _ = c.client.Write(r.Rest()) // a last line without its end
-		c.stopReading()
+	case over && c.bows() && len(in.Rest()) > 0:
+		c.finish(c.d.comeAgain())
+	case over:
 		c.linger()
-	case left:
-	default:
-		reset(c.client)
 	}
+	return false
 }
 
-// stopReading ends upward, so that the client's last bytes are read by linger alone.
-func (c *conn) stopReading() {
+// hearUntil sets until when the first line may come; it is over at once where the node ends.
+func (c *conn) hearUntil(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.over = true
-	_ = c.client.SetReadDeadline(past)
-}
-
-// errSpoke says that a client said more than its first line, for which it is to wait for the answer. Where it is not
-// one that packets pass through for, it does not speak the protocol: what it wants may be hundreds of things.
-var errSpoke = errors.New("it does not wait for the answer")
-
-// upward reads the client: before the connection is up to learn that it leaves, then to pass its lines
-// on. What comes early of a connection that is mid-flow waits in the buffer.
-func (c *conn) upward(in *wire.Inbox) {
-	for {
-		if early := in.Rest(); len(early) > 0 {
-			select {
-			case <-c.up:
-			default:
-				if !c.open.Mid && c.misspoke() {
-					return
-				}
-				select {
-				case <-c.up:
-				case <-c.ended:
-					return
-				}
-			}
-			c.waiting.CompareAndSwap(0, nanos(time.Now()))
-			if _, err := c.host.Write(early); err != nil {
-				return // the other goroutine meets the broken host too, and ends the client like it
-			}
-			in.Drop(len(early))
-			continue
-		}
-		n, err := c.client.Read(in.Space())
-		in.Fed(n)
-		if n == 0 && err != nil && timedOut(err) {
-			if goOn, _ := c.rest(c.client, false, func(*parking) {}); goOn {
-				continue
-			}
-			return
-		}
-		if n == 0 && err != nil {
-			c.left(err)
-			return
-		}
+	if c.bowed {
+		t = past
 	}
+	_ = c.client.SetReadDeadline(t)
 }
 
-// misspoke gives up a client that does not wait for its answer; false where it has come up just now.
-func (c *conn) misspoke() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.host != nil {
-		return false
-	}
-	c.spoke = true
-	c.leave()
-	if c.withdraw != nil {
-		c.withdraw()
-	}
-	return true
+// asking is how a connection asks how the node is.
+type asking struct {
+	hasty int
+	last  time.Time
 }
 
-// leave closes gone once; mu is held.
-func (c *conn) leave() {
-	select {
-	case <-c.gone:
-	default:
-		close(c.gone)
+// again counts a PING, and finds that there are too many. Others are those that come with it.
+func (a *asking) again(now time.Time, others bool) error {
+	if others || now.Sub(a.last) < turn {
+		a.hasty++
 	}
-}
-
-// left notes that the client has ended its side.
-func (c *conn) left(err error) {
-	if errors.Is(err, net.ErrClosed) { // this node's own doing
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.host == nil {
-		c.half.Store(!isReset(err))
-		c.leave()
-		if c.withdraw != nil {
-			c.withdraw()
-		}
-		return
-	}
-	if isReset(err) {
-		c.leftRST.Store(true)
-		_ = c.host.SetReadDeadline(past)
-		return
+	if a.last = now; a.hasty > mostPings {
+		return errors.New("too many PINGs")
 	}
-	c.leftFIN.Store(true)
-	_ = c.host.CloseWrite()
-	_ = c.host.SetReadDeadline(time.Now().Add(lingerFor))
+	return nil
 }
--- /dev/null
+++ b/internal/driver/crossing_test.go
@@ -0,0 +1,395 @@
+package driver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"onyxstream/internal/node"
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// Where two events cross, each test here brings about the bad order of them every time: one peer, or a lock, is held until
+// the other event has been seen. What is wanted is told by what peers saw.
+
+// counting is a host that counts the connections that come to it and says what reply gives for a line, "" for nothing.
+func counting(t *testing.T, reply string) (addr string, dials, lines, ended *atomic.Int64) {
+	t.Helper()
+	dials, lines, ended = new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
+	return host(t, func(c *net.TCPConn) {
+		dials.Add(1)
+		defer ended.Add(1)
+		in := bufio.NewReader(c)
+		if _, err := in.ReadString('\n'); err != nil {
+			return
+		}
+		lines.Add(1)
+		_, _ = io.WriteString(c, reply)
+		_, _ = io.Copy(io.Discard, in)
+	}), dials, lines, ended
+}
+
+// patient are settings under which an attempt lasts for as long as the test.
+func patient(s *settings.Settings) {
+	s.Classes[0].SetupAim, s.Classes[0].Deadline = 9*time.Minute, 9*time.Minute
+}
+
+// only is the one client's connection of a driver.
+func (r *rig) only(t *testing.T) (c *conn) {
+	t.Helper()
+	waitFor(t, "the client is accepted", func() bool {
+		r.d.mu.Lock()
+		defer r.d.mu.Unlock()
+		for c = range r.d.conns {
+		}
+		return c != nil
+	})
+	return c
+}
+
+// quiet waits until no client is left.
+func (r *rig) quiet(t *testing.T) {
+	t.Helper()
+	waitFor(t, "no client is left", func() bool { return len(r.d.remaining(false)) == 0 && r.n.Owed() == 0 })
+}
+
+// A client that asked and left while it waited in the listener's queue is gone: no host hears of it.
+func TestAClientThatLeftInTheQueueIsSentNowhere(t *testing.T) {
+	// With one processor the connection's goroutine goes on, and the loop it wakes, before the one that it starts to read.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	addr, dials, _, _ := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), true, addr)
+	door, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer door.Close()
+	var waiting []net.Conn
+	for i := range 32 { // they are whole and at their end before the first of them is accepted
+		c, err := net.Dial("tcp", door.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, fmt.Sprintf("OPEN q%d key c=chat,d=5000\r\n", i))
+		_ = c.(*net.TCPConn).CloseWrite()
+		waiting = append(waiting, c)
+	}
+	go func() { _ = r.d.Serve(door) }()
+	for _, c := range waiting {
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		if all, err := io.ReadAll(c); string(all) != wire.Err || err != nil {
+			t.Errorf("heard %q, error %v", all, err)
+		}
+	}
+	r.quiet(t)
+	if n := dials.Load(); n != 0 {
+		t.Errorf("hosts were connected to %d times", n)
+	}
+}
+
+// An attempt that is withdrawn while the loop says that it may go is not written.
+func TestAnAttemptWithdrawnAsItMayGoWritesNothing(t *testing.T) {
+	heard := make(chan string, 1)
+	addr := host(t, func(c *net.TCPConn) {
+		all, _ := io.ReadAll(c)
+		heard <- string(all)
+	})
+	ctx, withdraw := context.WithCancel(context.Background())
+	defer withdraw()
+	var in wire.Inbox
+	defer in.Free()
+	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), time.Second, new(atomic.Uint64),
+		func() error {
+			withdraw() // the client leaves between the loop's word and the line
+			return nil
+		}, &in)
+	if failed == nil || !failed.Outcome().ProvesUnrun() {
+		t.Errorf("%v; want an outcome that proves that it never ran", failed)
+	}
+	if got := <-heard; got != "" {
+		t.Errorf("the host heard %q", got)
+	}
+}
+
+// A client that is mid-flow and has spoken early leaves like any other: its attempt is withdrawn, no other is begun.
+func TestAMidFlowClientThatSpokeEarlyIsSeenToLeave(t *testing.T) {
+	a, _, linesA, endedA := counting(t, "")
+	b, _, linesB, endedB := counting(t, "")
+	r := newRigOf(t, zap.NewNop(), true, refusing(t), patient, a, b)
+	c, _ := r.ask(t, "OPEN m key c=chat,d=500000,mid=1\r\nM 1")
+	waitFor(t, "a host has the line", func() bool { return linesA.Load()+linesB.Load() == 1 })
+	_ = c.Close()
+	waitFor(t, "the attempt is withdrawn", func() bool { return endedA.Load()+endedB.Load() == 1 })
+	r.quiet(t)
+	if n := linesA.Load() + linesB.Load(); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// A connection that stood before the run is taken up for a client that is there: one that leaves while the loop is asked
+// where its host is gets no dial.
+func TestAClientThatLeavesBetweenTwoTriesGetsNoMore(t *testing.T) {
+	addr, dials, _, _ := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), false, addr)
+	c, _ := r.ask(t, "OPEN a key c=chat,d=5000,at=h0")
+	k := r.only(t)
+	_ = c.Close()
+	waitFor(t, "the node sees that it has left", k.isGone)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = r.n.Run(ctx) }() // and now the loop answers
+	r.quiet(t)
+	if n := dials.Load(); n != 0 {
+		t.Errorf("its host was connected to %d times", n)
+	}
+}
+
+// ending brings about that a driver begins to end while a client's bytes have been read and not looked at.
+func ending(t *testing.T, r *rig, c net.Conn, say string) {
+	t.Helper()
+	k := r.only(t)
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if say != "" {
+		k.begun.Store(false)
+		_, _ = io.WriteString(c, say)
+		waitFor(t, "it is read", k.begun.Load)
+	}
+	r.d.shut(false)
+}
+
+// A request that comes on a resting connection in the very moment in which the node ends it is answered; half a line is
+// told to come again; who asked for nothing is left by FIN. Nobody gets a reset.
+func TestTheEndHearsOutWhoIsAboutToAsk(t *testing.T) {
+	for _, c := range []struct{ name, first, then, want string }{
+		{"a whole line on a resting connection", "PING", "OPEN a key c=chat,d=5000\r\n", "BUSY"},
+		{"half a line", "PING", "OPEN a key c=ch", "BUSY"},
+		{"a question", "PING", "PING\r\n", wire.Pong},
+		{"nothing", "PING", "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, dials, _, _ := counting(t, "UP r\r\n")
+			r := newRig(t, zap.NewNop(), true, addr)
+			k, in := r.ask(t, c.first)
+			if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
+				t.Fatalf("heard %q, error %v", line, err)
+			}
+			ending(t, r, k, c.then)
+			all, err := io.ReadAll(in)
+			if err != nil || !strings.HasPrefix(string(all), c.want) || (c.want == "") != (len(all) == 0) {
+				t.Errorf("heard %q, error %v; want %q", all, err, c.want)
+			}
+			_ = k.Close()
+			r.end()
+			if n := dials.Load(); n != 0 {
+				t.Errorf("hosts were connected to %d times", n)
+			}
+		})
+	}
+}
+
+// Bytes that lie unread as the node begins to end are read before it closes over them.
+func TestTheEndReadsWhatLiesUnread(t *testing.T) {
+	r := newRig(t, zap.NewNop(), true)
+	k, in := r.ask(t, "PING")
+	if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
+		t.Fatalf("heard %q, error %v", line, err)
+	}
+	c := r.only(t)
+	r.d.mu.Lock()
+	r.d.shut(false) // its reader wakes, and finds what is written now, or nothing
+	_, _ = io.WriteString(k, "OPEN a key c=chat,d=5000\r\n")
+	r.d.mu.Unlock()
+	all, err := io.ReadAll(in)
+	if err != nil || len(all) > 0 && !strings.HasPrefix(string(all), "BUSY") {
+		t.Errorf("heard %q, error %v", all, err)
+	}
+	_ = c
+}
+
+// A request that the loop has not heard of as the node ends was sent nowhere: it is refused, not failed.
+func TestTheEndRefusesWhatWasNeverSentOn(t *testing.T) {
+	r := newRig(t, zap.NewNop(), false)
+	_, in := r.ask(t, "OPEN a key c=chat,d=500000")
+	waitFor(t, "it is owed its answer", func() bool { return r.d.Owing() == 1 })
+	r.d.mu.Lock()
+	r.d.shut(false)
+	r.d.mu.Unlock()
+	if all, err := io.ReadAll(in); !strings.HasPrefix(string(all), "BUSY") || err != nil {
+		t.Errorf("heard %q, error %v", all, err)
+	}
+}
+
+// A client that is accepted as the driver has ended is told so.
+func TestWhoIsAcceptedTooLateIsRefused(t *testing.T) {
+	r := newRig(t, zap.NewNop(), true)
+	r.end()
+	client, server := pair(t)
+	_, _ = io.WriteString(client, "OPEN a key c=chat,d=5000\r\n")
+	if !r.d.take(server) {
+		t.Fatal("it is left in the queue")
+	}
+	if all, err := io.ReadAll(client); !strings.HasPrefix(string(all), "BUSY") || err != nil {
+		t.Errorf("heard %q, error %v", all, err)
+	}
+}
+
+// A close at once is no close over unread bytes, whose reset may overtake the last word.
+func TestAFarewellReadsWhatHasCome(t *testing.T) {
+	client, server := pair(t)
+	_, _ = io.WriteString(client, strings.Repeat("x", 20000))
+	waitFor(t, "it lies there", func() bool { return unread(t, server) > 0 })
+	farewell(server, "BUSY\r\n")
+	if all, err := io.ReadAll(client); string(all) != "BUSY\r\n" || err != nil {
+		t.Errorf("heard %q, error %v", all, err)
+	}
+}
+
+// pair is a connection and its other side.
+func pair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	l, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if server, err = l.AcceptTCP(); err != nil {
+		t.Fatal(err)
+	}
+	client = c.(*net.TCPConn)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	_ = client.SetDeadline(time.Now().Add(20 * time.Second))
+	return client, server
+}
+
+// unread is how many bytes lie unread on a connection.
+func unread(t *testing.T, c *net.TCPConn) (n int) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// A request that comes on a resting connection as its time is over is served: a close over it would lose it. The node is
+// held in the middle of its last PING until the time is over and the request lies there.
+func TestAnIdleCloseHearsWhoAsksJustThen(t *testing.T) {
+	addr, _, _, _ := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), true, addr)
+	r.d.mu.Lock()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r.d.mu.Unlock()
+	k := r.only(t)
+	r.d.mu.Lock()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	in := bufio.NewReader(c)
+	_, _ = io.WriteString(c, "PING\r\n")
+	if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
+		t.Fatalf("heard %q, error %v", line, err)
+	}
+	_, _ = io.WriteString(c, "OPEN a key c=chat,d=5000\r\n")
+	for begin := time.Now(); time.Since(begin) < firstLine+turn; { // the event is that this time is over
+		time.Sleep(turn)
+	}
+	r.d.mu.Unlock()
+	if line, err := in.ReadString('\n'); line != "UP r\r\n" || err != nil {
+		t.Errorf("heard %q, error %v", line, err)
+	}
+	_ = k
+}
+
+// A pinger that is asked as it leaves for want of questions stays: nobody else would answer.
+func TestAPingerThatIsAskedJustThenStays(t *testing.T) {
+	d := New(Config{Sockets: 256}, zap.NewNop())
+	p := &pinger{asks: make(chan struct{}, 1)}
+	d.pingers["h"] = p
+	p.asks <- struct{}{}
+	if d.retire("h", p, false) || d.pingers["h"] != p {
+		t.Error("it left with a question")
+	}
+	<-p.asks
+	if !d.retire("h", p, false) || len(d.pingers) != 0 {
+		t.Error("it stayed without one")
+	}
+}
+
+// A watch that is given up as it is given more time ends at once.
+func TestAWatchGivenUpIsGivenNoMoreTime(t *testing.T) {
+	_, c := pair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := extend(ctx, c, time.Minute); err != nil {
+		t.Errorf("one that stands: %v", err)
+	}
+	cancel()
+	if err := extend(ctx, c, time.Minute); err == nil {
+		t.Error("it goes on")
+	}
+}
+
+// A connection that the next process can't go on with is sent away between two lines; its client is not left alone.
+func TestWhatCanNotBeAdoptedIsSentAway(t *testing.T) {
+	r := newRig(t, zap.NewNop(), true)
+	r.end()
+	client, ours := pair(t)
+	host, peer := pair(t)
+	if err := r.d.Adopt(Standing{Line: "OPEN a key c=chat,d=5000", Host: "h0", Client: ours, Peer: peer}); err == nil {
+		t.Fatal("a driver that has ended took it")
+	}
+	if all, err := io.ReadAll(client); string(all) != wire.Move || err != nil {
+		t.Errorf("the client heard %q, error %v", all, err)
+	}
+	if all, err := io.ReadAll(host); len(all) > 0 || err != nil {
+		t.Errorf("the host heard %q, error %v", all, err)
+	}
+}
+
+// No socket holds back small writes: they would be lost with a reset that follows.
+func TestNoSocketHoldsBackSmallWrites(t *testing.T) {
+	client, ours := pair(t)
+	f, err := ours.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	passed, err := net.FileConn(f) // as a process takes up what it was handed
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer passed.Close()
+	for name, c := range map[string]*net.TCPConn{"dialled": client, "accepted": ours, "passed on": passed.(*net.TCPConn)} {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		on := 0
+		_ = raw.Control(func(fd uintptr) { on, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY) })
+		if err != nil || on == 0 {
+			t.Errorf("%s: %d, error %v", name, on, err)
+		}
+	}
+}
--- a/internal/driver/discovery.go
+++ b/internal/driver/discovery.go
@@ -13,10 +13,15 @@
 	"onyxstream/internal/wire"
 )
 
+// What discovery has counts as told toldWithin after it had it and could be reached, whatever failed before. A watch that
+// falls silent is given up after beatWait; a call that is under way as discovery comes back may be lost, and is given up
+// after callWait. From there the next call is made within brain.AskAgain, or node.WatchAgain where the list need not be
+// asked for, and what is left of toldWithin is for its answer.
 const (
-	callWait = 3 * time.Second         // for the first answer of a watch
-	listWait = 1500 * time.Millisecond // for the whole list: a discovery that was just named is to be told of soon
-	beatWait = 4500 * time.Millisecond // two beats of 2 s and some: a watch silent for longer is broken
+	toldWithin = 6 * time.Second
+	callWait   = 3 * time.Second         // for the first answer of a watch, from the start of its dial
+	listWait   = 1500 * time.Millisecond // for the whole list: a discovery that was just named is to be told of soon
+	beatWait   = 3 * time.Second         // a beat of 2 s and half of one: a watch that brings nothing whole for longer is broken
 )
 
 // Discovery follows the list of hosts.
@@ -137,13 +142,16 @@
 	return y.watch(ctx, c, after)
 }
 
-// dial opens a connection to discovery; done closes it.
-func dial(ctx context.Context, addr string, wait time.Duration) (c net.Conn, done func(), err error) {
-	dialer := net.Dialer{Timeout: wait, KeepAlive: -1}
-	if c, err = dialer.DialContext(ctx, "tcp", addr); err != nil {
+// dial opens a connection to discovery, on which all is to be over after wait, the dial counted in; done closes it.
+func dial(ctx context.Context, addr string, wait time.Duration) (c *net.TCPConn, done func(), err error) {
+	by := time.Now().Add(wait)
+	dialer := net.Dialer{Deadline: by, KeepAlive: -1}
+	any, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
 		return nil, nil, err
 	}
-	_ = c.SetDeadline(time.Now().Add(wait))
+	c = any.(*net.TCPConn)
+	_ = c.SetDeadline(by)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	return c, func() { stop(); _ = c.Close() }, nil
 }
@@ -190,30 +198,60 @@
 	var s wire.Stream
 	for {
 		n, err := c.Read(buf[:])
+		if n == 0 && err != nil && timedOut(err) && ctx.Err() == nil {
+			n, err = awaited(c, buf[:], err)
+		}
 		if err := s.Feed(buf[:n]); err != nil {
 			return err
 		}
-		for line, ok := s.Next(); ok; line, ok = s.Next() {
-			if len(line) == 0 {
-				y.node.Beat(call.N)
-				continue
-			}
-			list, err := wire.ParseCatalog(line)
-			if err != nil {
-				return err
-			}
-			y.tell(call, &list)
-		}
+		whole, wrong := y.news(call, &s)
 		switch {
+		case wrong != nil:
+			return wrong
 		case s.Ended():
 			return errors.New("discovery ended it")
 		case err != nil:
 			return err
-		case call.told.Load():
-			_ = c.SetReadDeadline(time.Now().Add(beatWait))
+		case whole && call.told.Load(): // parts of what never ends are no sign of life
+			err = extend(ctx, c, beatWait)
+		default:
+			err = ctx.Err()
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if err != nil {
+			return err
 		}
 	}
 }
+
+// extend gives a watch more time, unless its context has ended. That is looked at last: an end that came just before has
+// set a deadline that this one takes the place of, and the next call would wait for this one until the next beat.
+func extend(ctx context.Context, c net.Conn, by time.Duration) error {
+	_ = c.SetReadDeadline(time.Now().Add(by))
+	return ctx.Err()
+}
+
+// news takes what has come whole, and reports whether anything has.
+func (y *Discovery) news(call *call, s *wire.Stream) (whole bool, err error) {
+	for line, ok := s.Next(); ok; line, ok = s.Next() {
+		whole = true
+		if len(line) == 0 {
+			y.node.Beat(call.N)
+			continue
+		}
+		list, err := wire.ParseCatalog(line)
+		if err != nil {
+			return whole, err
+		}
+		y.tell(call, &list)
+	}
+	return whole, nil
+}
+
+// awaited reads what has come of a watch whose time is up: where this node stood still itself, the watch did not.
+func awaited(c *net.TCPConn, into []byte, late error) (int, error) {
+	n, err := arrived(c, into)
+	if n == 0 && err == nil {
+		err = late
+	}
+	return n, err
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -6,7 +6,6 @@
 	"container/list"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"runtime/debug"
@@ -132,8 +131,8 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed {
-		reset(client)
+	if d.closed { // accepted in the very moment: it may have asked for something already
+		farewell(client, d.comeAgain())
 		return true
 	}
 	if d.early.Len() >= d.heard() {
@@ -194,15 +193,17 @@
 // a close alone would lose what it asks for. mu is held, and the write waits for nobody: nothing was written before.
 func (d *Driver) shed(c *conn) {
 	d.log.Info("a client is closed to make room for another one")
+	line := ""
 	if c.begun.Load() && !c.bid {
-		_ = c.client.SetWriteDeadline(time.Now().Add(turn))
-		_, _ = io.WriteString(c.client, wire.Busy(min(time.Second, d.cfg.MaxRetryAfter)))
-		_ = c.client.CloseWrite()
+		line = d.comeAgain()
 	}
 	d.release(c)
-	_ = c.client.Close()
+	farewell(c.client, line)
 }
 
+// comeAgain is the refusal of the driver's own, of what was never sent on.
+func (d *Driver) comeAgain() string { return wire.Busy(min(time.Second, d.cfg.MaxRetryAfter)) }
+
 // release takes a client out of the budget; mu is held.
 func (d *Driver) release(c *conn) {
 	if c.early != nil {
@@ -224,6 +225,9 @@
 	if c.early == nil {
 		return false, false
 	}
+	if d.closed {
+		return false, true
+	}
 	for id, p := range d.pingers { // a client goes before a ping
 		if d.fits(perClient) || len(d.pingers) <= firstPings {
 			break
@@ -278,15 +282,31 @@
 	}
 }
 
-// bowWithin is how long the end waits for the answers of those who are still owed one to be written.
+// bowWithin is how long the end waits for those who are not up to have their last word, and to leave by it.
 const bowWithin = 100 * time.Millisecond
 
-// End ends what the driver has open, and waits for it. Who is owed an answer still gets one, the same as from the
-// backstop: a reset would leave it with none. Where packets pass through, connections that are up are left
-// for the end of the process: a node that breaks them itself breaks them for good, and all their clients set up anew
-// at once, while those of a process that ends are found again by way of other nodes.
+// End ends what the driver has open, and waits for it. No client may be accepted any more. Who is owed an answer still
+// gets one, the same as from the backstop: a reset would leave it with none. Where packets pass through, connections that
+// are up are left for the end of the process: a node that breaks them itself breaks them for good, and all their clients
+// set up anew at once, while those of a process that ends are found again by way of other nodes.
 func (d *Driver) End(pass bool) {
 	d.mu.Lock()
+	d.shut(pass)
+	d.mu.Unlock()
+	d.wg.Wait()
+	for by := time.Now().Add(bowWithin); len(d.remaining(pass)) > 0 && time.Now().Before(by); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range d.remaining(pass) {
+		farewell(c.client, "") // it has had its last word, and does not leave
+	}
+	if !pass {
+		d.clients.Wait()
+	}
+}
+
+// shut begins the end; mu is held.
+func (d *Driver) shut(pass bool) {
 	if !d.closed {
 		close(d.ending)
 	}
@@ -298,20 +318,18 @@
 		delete(d.pingers, id)
 		close(p.asks)
 	}
-	d.mu.Unlock()
-	d.wg.Wait()
-	for by := time.Now().Add(bowWithin); d.Owing() > 0 && time.Now().Before(by); {
-		time.Sleep(time.Millisecond)
-	}
-	if pass {
-		return
-	}
+}
+
+// remaining lists the clients whose connections have not ended, but for those that the end leaves.
+func (d *Driver) remaining(pass bool) (all []*conn) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	for c := range d.conns {
-		_ = c.client.Close() // its answer is written: no reset is to overtake it
+		if !pass || !c.isUp() {
+			all = append(all, c)
+		}
 	}
-	d.mu.Unlock()
-	d.clients.Wait()
+	return all
 }
 
 // Owing tells how many clients have said what they want and have had no answer.
--- a/internal/driver/figures.go
+++ b/internal/driver/figures.go
@@ -1,6 +1,10 @@
 package driver
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"onyxstream/internal/wire"
+)
 
 // Replies counts the final answers that clients of one class have had.
 type Replies struct {
@@ -67,3 +71,12 @@
 		r.failed.Add(1)
 	}
 }
+
+// countAs counts a final answer of the node's own by its line.
+func (c *conn) countAs(line string) {
+	if line == wire.Err {
+		c.count(failed)
+	} else {
+		c.count(refused)
+	}
+}
--- a/internal/driver/park.go
+++ b/internal/driver/park.go
@@ -163,8 +163,18 @@
 
 var errGone = errors.New("the driver ends")
 
-// Adopt goes on with a connection that another process had.
+// Adopt goes on with a connection that another process had. One with which it can't is sent away: it rests between two
+// lines, and its client has nobody else any more.
 func (d *Driver) Adopt(s Standing) error {
+	err := d.adopt(s)
+	if err != nil {
+		farewell(s.Client, wire.Move)
+		_ = s.Peer.Close()
+	}
+	return err
+}
+
+func (d *Driver) adopt(s Standing) error {
 	kind, open, err := wire.ParseHello([]byte(s.Line))
 	if err != nil || kind != wire.HelloOpen || len(s.Partial) > wire.BufferSize/2 {
 		return errors.New("it is no connection's")
--- a/internal/driver/ping.go
+++ b/internal/driver/ping.go
@@ -70,20 +70,17 @@
 		in.Free()
 	}
 	defer leave()
-	defer func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.pingers[id] == p {
-			delete(d.pingers, id)
-		}
-	}()
+	defer d.retire(id, p, true)
 	idle := time.NewTimer(pingIdle)
 	defer idle.Stop()
 	for {
 		idle.Reset(pingIdle)
 		select {
 		case <-idle.C:
-			return
+			if d.retire(id, p, false) {
+				return
+			}
+			continue
 		case _, on := <-p.asks:
 			if !on {
 				return
@@ -112,6 +109,20 @@
 	}
 }
 
+// retire takes a pinger out; one that was asked just now goes on, unless it must not: a question that nobody answers would
+// pass for a host that does not.
+func (d *Driver) retire(id brain.ServerID, p *pinger, must bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(p.asks) > 0 && !must {
+		return false
+	}
+	if d.pingers[id] == p {
+		delete(d.pingers, id)
+	}
+	return true
+}
+
 // pingOnce sends a ping and waits for its answer, whatever that is: NO comes from a host too.
 func pingOnce(c net.Conn, in *wire.Inbox, by time.Time) error {
 	_ = c.SetDeadline(by)
--- /dev/null
+++ b/internal/driver/relay.go
@@ -0,0 +1,97 @@
+package driver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// relay passes lines from the host to the client until one side ends, and ends the other alike.
+func (c *conn) relay(host *net.TCPConn, first *wire.Inbox, upLine []byte, attempt int, start time.Time) {
+	r := wire.Relay{Inbox: *first}
+	defer r.Free()
+	var err error
+	if len(upLine) > 0 {
+		_, err = c.client.Write(upLine)
+	}
+	stuck := err != nil // the client does not take what is for it
+	for err == nil {
+		chunk, seen := r.Whole()
+		if seen.Lines > 0 {
+			if since := c.waiting.Swap(0); since != 0 {
+				took := nanos(time.Now()) - since
+				c.took.Store(took)
+				c.longest = max(c.longest, time.Duration(took))
+				c.answered.Add(1)
+			}
+		}
+		if seen.Load > 0 {
+			c.load = seen.Load
+			c.d.node.Load(c.id, c, seen.Load)
+		}
+		if len(chunk) > 0 {
+			_, err = c.client.Write(chunk)
+			stuck = err != nil
+			continue
+		}
+		var n int
+		n, err = host.Read(r.Space())
+		r.Fed(n)
+		if n > 0 {
+			err = nil
+		}
+		if err != nil && timedOut(err) {
+			goOn, handed := c.rest(host, true, func(p *parking) {
+				p.partial, p.torn, p.load = append([]byte(nil), r.Rest()...), !r.Between() || r.Ending(), c.load
+			})
+			if handed {
+				c.handOver(host, attempt, start)
+				return
+			}
+			if goOn {
+				err = nil
+			}
+		}
+	}
+	c.part(host, &r, err, stuck, attempt, start)
+}
+
+// part ends both sides after the relay has: err is what ended it.
+func (c *conn) part(host *net.TCPConn, r *wire.Relay, err error, stuck bool, attempt int, start time.Time) {
+	outcome := brain.Reset
+	left := c.leftFIN.Load() || c.leftRST.Load()
+	switch {
+	case r.Last() == wire.AnswerBye:
+		outcome = brain.Served
+	case r.Last() == wire.AnswerMove || left || c.moving.Load():
+		outcome = brain.Cancelled
+	}
+	if c.leftRST.Load() {
+		reset(host)
+	} else {
+		_ = host.Close()
+	}
+	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
+		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
+		zap.Duration("longest answer", c.longest),
+		zap.Error(err))
+	c.d.node.Settled(c.id, c, attempt, time.Since(start), outcome)
+	switch {
+	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
+		c.stopReading()
+		c.finish(wire.Move)
+	case errors.Is(err, io.EOF):
+		_, _ = c.client.Write(r.Rest()) // a last line without its end
+		c.stopReading()
+		c.linger()
+	case left:
+	default:
+		reset(c.client)
+	}
+}
--- a/internal/lifecycle/accept.go
+++ b/internal/lifecycle/accept.go
@@ -65,11 +65,16 @@
 		return false
 	}
 	_ = l.SetDeadline(time.Now().Add(poll))
+	l.ended()
+	return true
+}
+
+// ended waits until no client is accepted any more, for a moment: an accept that blocks all the same holds up no end.
+func (l *listener) ended() {
 	select {
 	case <-l.over:
 	case <-time.After(closeWithin):
 	}
-	return true
 }
 
 // Close ends accepting. Twice is as once.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -48,6 +48,9 @@
 	// Before all else: a SIGHUP that nobody waits for ends the process.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
+	// And so does a SIGTERM: a node that is told to stop while it starts ends like any other, once it has started.
+	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancelStop()
 	cfg, err := Load()
 	if err != nil {
 		return err
@@ -73,8 +76,6 @@
 	d.Attach(n)
 	y.Attach(n)
 
-	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancelStop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l, err := listen(ctx, cfg.Listen)
@@ -141,6 +142,7 @@
 		case <-ctx.Done():
 		}
 		l.Close()
+		l.ended() // whoever was accepted in this moment is the driver's by now
 		d.End(cfg.Settings.Pass)
 		cancel()
 		return nil
--- a/internal/lifecycle/takeover.go
+++ b/internal/lifecycle/takeover.go
@@ -87,9 +87,7 @@
 				err := s.driver.Adopt(driver.Standing{Line: t.Line, Host: t.Host, Client: t.ClientConn, Peer: t.PeerConn,
 					Partial: t.Partial, Load: t.Load})
 				if err != nil {
-					s.log.Error("a connection that was taken over can't go on", zap.Error(err))
-					_ = t.ClientConn.Close()
-					_ = t.PeerConn.Close()
+					s.log.Error("a connection that was taken over can't go on: its client is sent away", zap.Error(err))
 				}
 			}
 		}
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -55,6 +55,7 @@
 	left    int64  // bytes of the chunk or body still to come, -1 for until the end
 	chunked bool
 	body    []byte // unread
+	front   object // how far the object at its front has come
 }
 
 // Feed takes the next bytes. After an error the answer is worth nothing more.
@@ -195,21 +196,58 @@
 	return nil
 }
 
-// Next takes the next whole line of the body, or what is left of it once the answer has ended. An
-// empty line is one too: it is discovery's beat.
-func (s *Stream) Next() (line []byte, ok bool) {
-	i := bytes.IndexByte(s.body, '\n')
-	if i < 0 {
-		if s.state != ended || len(s.body) == 0 {
-			return nil, false
+// object is the machine that finds the end of a JSON object, which may stand on several lines.
+type object struct {
+	at            int // bytes looked at
+	depth         int // of braces and brackets that are open
+	quoted, slash bool
+	ended         bool // an object came last: the end of its line is not one of its own
+}
+
+// look goes on until the end of an object, or of a line outside of one; 0 where neither has come.
+func (o *object) look(body []byte) (end int) {
+	for ; o.at < len(body); o.at++ {
+		switch b := body[o.at]; {
+		case o.slash:
+			o.slash = false
+		case o.quoted:
+			o.slash, o.quoted = b == '\\', b != '"'
+		case b == '"' && o.depth > 0:
+			o.quoted = true
+		case b == '{' || b == '[':
+			o.depth++
+		case (b == '}' || b == ']') && o.depth > 0:
+			if o.depth--; o.depth == 0 {
+				return o.at + 1
+			}
+		case b == '\n' && o.depth == 0:
+			return o.at + 1
 		}
-		i = len(s.body) - 1
 	}
-	line = bytes.TrimRight(s.body[:i+1], "\r\n")
-	if s.body = s.body[i+1:]; len(s.body) == 0 {
-		s.body = nil // a long list is not kept for the length of the watch
+	return 0
+}
+
+// Next takes the next whole object of the body, on however many lines it stands, or the next line that begins with none,
+// or what is left once the answer has ended. An empty line is one too: it is discovery's beat.
+func (s *Stream) Next() (line []byte, ok bool) {
+	for {
+		end := s.front.look(s.body)
+		if end == 0 {
+			if s.state != ended || len(s.body) == 0 {
+				return nil, false
+			}
+			end = len(s.body)
+		}
+		line = bytes.TrimSpace(s.body[:end])
+		tail := s.front.ended && len(line) == 0 // the end of the line on which an object ended
+		s.front = object{ended: len(line) > 0 && s.body[end-1] != '\n'}
+		if s.body = s.body[end:]; len(s.body) == 0 {
+			s.body = nil // a long list is not kept for the length of the watch
+		}
+		if !tail {
+			return line, true
+		}
 	}
-	return line, true
 }
 
 // Closed tells that the connection has ended, which is the end of a body without a length. It reports whether the
@@ -224,7 +262,7 @@
 // Body takes all of the body that has come and was not taken yet.
 func (s *Stream) Body() []byte {
 	body := s.body
-	s.body = nil
+	s.body, s.front = nil, object{}
 	return body
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -385,3 +386,31 @@
 		}
 	})
 }
+
+// However an answer is cut into pieces, its objects come out whole, on one line or many, and beats between them.
+func TestObjectsOfAStreamInAnyPieces(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	body := "{\"a\":\"}\\\"{\"}\r\n\r\n{\n \"b\": [1,\n\n  {\"c\":2}]\n}\n\n\nnonsense }\n{\"d\":[}"
+	want := []string{`{"a":"}\"{"}`, "", "{\n \"b\": [1,\n\n  {\"c\":2}]\n}", "", "", "nonsense }", `{"d":[}`}
+	for size := 1; size <= len(head+body); size++ {
+		var s Stream
+		var got []string
+		for rest := head + body; len(rest) > 0; {
+			n := min(size, len(rest))
+			if err := s.Feed([]byte(rest[:n])); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+			for line, ok := s.Next(); ok; line, ok = s.Next() {
+				got = append(got, string(line))
+			}
+		}
+		s.Closed()
+		for line, ok := s.Next(); ok; line, ok = s.Next() {
+			got = append(got, string(line))
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("in pieces of %d: %q, want %q", size, got, want)
+		}
+	}
+}
