--- a/cmd/onyxstream/bad_test.go
+++ b/cmd/onyxstream/bad_test.go
@@ -169,3 +169,47 @@
 		t.Error("a first client was forgotten")
 	}
 }
+
+// Clients that say nothing fill every descriptor they can get while discovery is down, at the system's own limit. Requests
+// are answered all the same, the configuration is read, and the list is followed as soon as discovery is back.
+func TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	const sockets = 96
+	a, b := newHost(t, "ha"), newHost(t, "hb")
+	old := newRegistry(t, list(1, true, a.member("SERVING")))
+	old.turn(true)
+	p := start(t, options{known: list(1, true, a.member("SERVING")), sockets: sockets, files: sockets}, old.addr)
+	var held []net.Conn
+	defer func() {
+		for _, c := range held {
+			_ = c.Close()
+		}
+	}()
+	crowd := func() {
+		for range 3 * sockets {
+			if c, err := net.Dial("tcp", p.addr); err == nil {
+				held = append(held, c)
+			}
+		}
+	}
+	crowd()
+	p.open(t, "").hears("UP from-ha")
+	reg := newRegistry(t, list(2, true, a.member("DRAINING"), b.member("SERVING")))
+	reg.turn(true)
+	p.hup(t, old.addr, reg.addr)
+	p.logs(t, "the configuration was read again")
+	eventually(t, "the new discovery is asked", func() bool { return len(reg.called()) > 0 })
+	crowd()
+	p.open(t, "").hears("UP from-ha")
+	reg.turn(false)
+	eventually(t, "its list is followed", func() bool {
+		k := p.open(t, "")
+		defer k.c.Close()
+		return strings.Contains(k.hears("UP "), "from-hb")
+	})
+	crowd()
+	p.open(t, "").hears("UP from-hb")
+	if n := p.descriptors(t); n > sockets {
+		t.Errorf("%d descriptors held, %d allowed", n, sockets)
+	}
+}
--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -23,21 +22,56 @@
 // Where two events cross, each test here brings about the bad order of them every time: one peer, or a lock, is held until
 // the other event has been seen. What is wanted is told by what peers saw.
 
-// counting is a host that counts the connections that come to it and says what reply gives for a line, "" for nothing.
-func counting(t *testing.T, reply string) (addr string, dials, lines, ended *atomic.Int64) {
+// counted is a host that counts what comes to it.
+type counted struct {
+	addr                string
+	dials, lines, ended atomic.Int64
+}
+
+// counting is a host that says what reply gives for a line, "" for nothing.
+func counting(t *testing.T, reply string) *counted {
 	t.Helper()
-	dials, lines, ended = new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
-	return host(t, func(c *net.TCPConn) {
-		dials.Add(1)
-		defer ended.Add(1)
-		in := bufio.NewReader(c)
-		if _, err := in.ReadString('\n'); err != nil {
-			return
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	h := &counted{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.dials.Add(1)
+			go func() {
+				defer c.Close()
+				defer h.ended.Add(1)
+				in := bufio.NewReader(c)
+				if _, err := in.ReadString('\n'); err != nil {
+					return
+				}
+				h.lines.Add(1)
+				_, _ = io.WriteString(c, reply)
+				_, _ = io.Copy(io.Discard, in)
+			}()
 		}
-		lines.Add(1)
-		_, _ = io.WriteString(c, reply)
-		_, _ = io.Copy(io.Discard, in)
-	}), dials, lines, ended
+	}()
+	return h
+}
+
+// dialled tells how many connections have come. They are accepted in turn: one of the test's own is the last.
+func (h *counted) dialled(t *testing.T) int64 {
+	t.Helper()
+	before := h.dials.Load()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	waitFor(t, "the last one is accepted", func() bool { return h.dials.Load() > before })
+	h.dials.Add(-1)
+	return h.dials.Load()
 }
 
 // patient are settings under which an attempt lasts for as long as the test.
@@ -64,25 +98,27 @@
 	waitFor(t, "no client is left", func() bool { return len(r.d.remaining(false)) == 0 && r.n.Owed() == 0 })
 }
 
-// A client that asked and left while it waited in the listener's queue is gone: no host hears of it.
+// A client that asked and left while it waited in the listener's queue is gone: it has its answer at once, the loop is not
+// told and no host hears of it. The loop's queue is full, so that whoever is handed to it waits.
 func TestAClientThatLeftInTheQueueIsSentNowhere(t *testing.T) {
-	// With one processor the connection's goroutine goes on, and the loop it wakes, before the one that it starts to read.
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	addr, dials, _, _ := counting(t, "UP r\r\n")
-	r := newRig(t, zap.NewNop(), true, addr)
+	h := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), false, h.addr)
 	door, err := Listen(context.Background(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer door.Close()
+	for range 1024 {
+		r.n.Heard()
+	}
 	var waiting []net.Conn
-	for i := range 32 { // they are whole and at their end before the first of them is accepted
+	for i := range 8 { // they are whole and at their end before the first of them is accepted
 		c, err := net.Dial("tcp", door.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		_, _ = io.WriteString(c, fmt.Sprintf("OPEN q%d key c=chat,d=5000\r\n", i))
+		_, _ = io.WriteString(c, fmt.Sprintf("OPEN q%d key c=chat,d=90000\r\n", i))
 		_ = c.(*net.TCPConn).CloseWrite()
 		waiting = append(waiting, c)
 	}
@@ -93,9 +129,12 @@
 			t.Errorf("heard %q, error %v", all, err)
 		}
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = r.n.Run(ctx) }()
 	r.quiet(t)
-	if n := dials.Load(); n != 0 {
-		t.Errorf("hosts were connected to %d times", n)
+	if n := h.dialled(t); n != 0 {
+		t.Errorf("its host was connected to %d times", n)
 	}
 }
 
@@ -125,15 +164,14 @@
 
 // A client that is mid-flow and has spoken early leaves like any other: its attempt is withdrawn, no other is begun.
 func TestAMidFlowClientThatSpokeEarlyIsSeenToLeave(t *testing.T) {
-	a, _, linesA, endedA := counting(t, "")
-	b, _, linesB, endedB := counting(t, "")
-	r := newRigOf(t, zap.NewNop(), true, refusing(t), patient, a, b)
+	a, b := counting(t, ""), counting(t, "")
+	r := newRigOf(t, zap.NewNop(), true, refusing(t), patient, a.addr, b.addr)
 	c, _ := r.ask(t, "OPEN m key c=chat,d=500000,mid=1\r\nM 1")
-	waitFor(t, "a host has the line", func() bool { return linesA.Load()+linesB.Load() == 1 })
+	waitFor(t, "a host has the line", func() bool { return a.lines.Load()+b.lines.Load() == 1 })
 	_ = c.Close()
-	waitFor(t, "the attempt is withdrawn", func() bool { return endedA.Load()+endedB.Load() == 1 })
+	waitFor(t, "the attempt is withdrawn", func() bool { return a.ended.Load()+b.ended.Load() == 1 })
 	r.quiet(t)
-	if n := linesA.Load() + linesB.Load(); n != 1 {
+	if n := a.lines.Load() + b.lines.Load(); n != 1 {
 		t.Errorf("%d attempts", n)
 	}
 }
@@ -141,8 +179,8 @@
 // A connection that stood before the run is taken up for a client that is there: one that leaves while the loop is asked
 // where its host is gets no dial.
 func TestAClientThatLeavesBetweenTwoTriesGetsNoMore(t *testing.T) {
-	addr, dials, _, _ := counting(t, "UP r\r\n")
-	r := newRig(t, zap.NewNop(), false, addr)
+	h := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), false, h.addr)
 	c, _ := r.ask(t, "OPEN a key c=chat,d=5000,at=h0")
 	k := r.only(t)
 	_ = c.Close()
@@ -151,7 +189,7 @@
 	defer cancel()
 	go func() { _ = r.n.Run(ctx) }() // and now the loop answers
 	r.quiet(t)
-	if n := dials.Load(); n != 0 {
+	if n := h.dialled(t); n != 0 {
 		t.Errorf("its host was connected to %d times", n)
 	}
 }
@@ -180,8 +218,8 @@
 		{"nothing", "PING", "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			addr, dials, _, _ := counting(t, "UP r\r\n")
-			r := newRig(t, zap.NewNop(), true, addr)
+			h := counting(t, "UP r\r\n")
+			r := newRig(t, zap.NewNop(), true, h.addr)
 			k, in := r.ask(t, c.first)
 			if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
 				t.Fatalf("heard %q, error %v", line, err)
@@ -193,7 +231,7 @@
 			}
 			_ = k.Close()
 			r.end()
-			if n := dials.Load(); n != 0 {
+			if n := h.dialled(t); n != 0 {
 				t.Errorf("hosts were connected to %d times", n)
 			}
 		})
@@ -207,7 +245,7 @@
 	if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
 		t.Fatalf("heard %q, error %v", line, err)
 	}
-	c := r.only(t)
+	r.only(t)
 	r.d.mu.Lock()
 	r.d.shut(false) // its reader wakes, and finds what is written now, or nothing
 	_, _ = io.WriteString(k, "OPEN a key c=chat,d=5000\r\n")
@@ -216,7 +254,6 @@
 	if err != nil || len(all) > 0 && !strings.HasPrefix(string(all), "BUSY") {
 		t.Errorf("heard %q, error %v", all, err)
 	}
-	_ = c
 }
 
 // A request that the loop has not heard of as the node ends was sent nowhere: it is refused, not failed.
@@ -252,6 +289,9 @@
 	_, _ = io.WriteString(client, strings.Repeat("x", 20000))
 	waitFor(t, "it lies there", func() bool { return unread(t, server) > 0 })
 	farewell(server, "BUSY\r\n")
+	if state := tcpState(t, client); state != closeWait { // a reset would have ended it
+		t.Errorf("the client's side is in state %d", state)
+	}
 	if all, err := io.ReadAll(client); string(all) != "BUSY\r\n" || err != nil {
 		t.Errorf("heard %q, error %v", all, err)
 	}
@@ -278,6 +318,23 @@
 	return client, server
 }
 
+// closeWait is the state, by the system's figures, of a connection whose other side has ended by FIN.
+const closeWait = 8
+
+func tcpState(t *testing.T, c *net.TCPConn) uint8 {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var info *unix.TCPInfo
+	_ = raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return info.State
+}
+
 // unread is how many bytes lie unread on a connection.
 func unread(t *testing.T, c *net.TCPConn) (n int) {
 	t.Helper()
@@ -295,16 +352,13 @@
 // A request that comes on a resting connection as its time is over is served: a close over it would lose it. The node is
 // held in the middle of its last PING until the time is over and the request lies there.
 func TestAnIdleCloseHearsWhoAsksJustThen(t *testing.T) {
-	addr, _, _, _ := counting(t, "UP r\r\n")
-	r := newRig(t, zap.NewNop(), true, addr)
-	r.d.mu.Lock()
+	r := newRig(t, zap.NewNop(), true, counting(t, "UP r\r\n").addr)
 	c, err := net.Dial("tcp", r.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	r.d.mu.Unlock()
-	k := r.only(t)
+	r.only(t)
 	r.d.mu.Lock()
 	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	in := bufio.NewReader(c)
@@ -320,7 +374,6 @@
 	if line, err := in.ReadString('\n'); line != "UP r\r\n" || err != nil {
 		t.Errorf("heard %q, error %v", line, err)
 	}
-	_ = k
 }
 
 // A pinger that is asked as it leaves for want of questions stays: nobody else would answer.
