--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,8 +26,11 @@
 
 // counted is a host that counts what comes to it.
 type counted struct {
-	addr                string
-	dials, lines, ended atomic.Int64
+	addr         string
+	lines, ended atomic.Int64
+
+	mu   sync.Mutex
+	from []string // who has connected, in turn
 }
 
 // counting is a host that says what reply gives for a line, "" for nothing.
@@ -43,7 +48,9 @@
 			if err != nil {
 				return
 			}
-			h.dials.Add(1)
+			h.mu.Lock()
+			h.from = append(h.from, c.RemoteAddr().String())
+			h.mu.Unlock()
 			go func() {
 				defer c.Close()
 				defer h.ended.Add(1)
@@ -61,17 +68,20 @@
 }
 
 // dialled tells how many connections have come. They are accepted in turn: one of the test's own is the last.
-func (h *counted) dialled(t *testing.T) int64 {
+func (h *counted) dialled(t *testing.T) (before int) {
 	t.Helper()
-	before := h.dials.Load()
 	c, err := net.Dial("tcp", h.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	waitFor(t, "the last one is accepted", func() bool { return h.dials.Load() > before })
-	h.dials.Add(-1)
-	return h.dials.Load()
+	waitFor(t, "the last one is accepted", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		before = slices.Index(h.from, c.LocalAddr().String())
+		return before >= 0
+	})
+	return before
 }
 
 // patient are settings under which an attempt lasts for as long as the test.
@@ -120,11 +130,11 @@
 		defer c.Close()
 		_, _ = io.WriteString(c, fmt.Sprintf("OPEN q%d key c=chat,d=90000\r\n", i))
 		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 		waiting = append(waiting, c)
 	}
 	go func() { _ = r.d.Serve(door) }()
 	for _, c := range waiting {
-		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 		if all, err := io.ReadAll(c); string(all) != wire.Err || err != nil {
 			t.Errorf("heard %q, error %v", all, err)
 		}
@@ -185,6 +195,11 @@
 	k := r.only(t)
 	_ = c.Close()
 	waitFor(t, "the node sees that it has left", k.isGone)
+	if ctx, over := k.begin(0, "h0"); ctx.Err() == nil {
+		t.Error("an attempt may begin for a client that has left")
+	} else {
+		over()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = r.n.Run(ctx) }() // and now the loop answers
@@ -198,10 +213,10 @@
 func ending(t *testing.T, r *rig, c net.Conn, say string) {
 	t.Helper()
 	k := r.only(t)
+	waitFor(t, "it rests", func() bool { return k.rests.Load() && !k.begun.Load() })
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	if say != "" {
-		k.begun.Store(false)
 		_, _ = io.WriteString(c, say)
 		waitFor(t, "it is read", k.begun.Load)
 	}
