A pace holds while a jam lasts: it eases once what was sent at it has told

Change: where requests come, an easing waits for half a gap and two set-ups; a good set-up sent since halves the gap. Test: TestAPaceHoldsWhileAJamLasts.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,16 +30,15 @@
 	noteSmooth = 0.05 // the part of one load note that moves the means: some twenty notes set them
 	paceOff    = 16   // the multiple of the usual rate at which paced set-ups are let go again
 
-	forgetful             = 4096                   // sweeps in which a larger fleet fades
-	sweepEvery            = 200 * time.Millisecond // the pace of housekeeping
-	sweepToken, waitToken = "sweep", "wait"
+	forgetful = 4096 // sweeps in which a larger fleet fades
+
+	sweepEvery, sweepToken, waitToken = 200 * time.Millisecond, "sweep", "wait" // of housekeeping; names
 )
 
 // New starts a node that knows only its settings.
 func New(s Settings) *Brain {
-	b := &Brain{set: s, servers: map[ServerID]*server{}, reqs: map[RequestID]*request{}}
-	b.rng = rand.New(rand.NewPCG(s.Seed, uint64(s.Index)))
-	b.groups, b.means = map[string]int{}, make([]float64, len(s.Classes))
+	b := &Brain{set: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Index))), means: make([]float64, len(s.Classes))}
+	b.servers, b.reqs, b.groups = map[ServerID]*server{}, map[RequestID]*request{}, map[string]int{}
 	b.set.Tenants, b.tenants = append(slices.Clip(s.Tenants), Tenant{}), make([]int, len(s.Tenants)+1)
 	for _, t := range s.Tenants {
 		b.quota += t.Connections / float64(max(s.GroupSize, 1))
@@ -180,8 +179,8 @@
 
 // shared takes in how long a set-up took, twice its aim for one that failed. Set-ups slow on the whole come
 // from what they all call; sending on as clients return in a wave keeps that jammed. So the time between
-// sends grows by half, once for all that was sent before, and shrinks with time, not with good set-ups alone:
-// where few connections come, those kept nodes paced long after the jam. A single error paces nothing, nor do
+// sends grows by half, once for all that was sent before; it halves with each good one since, and with time:
+// where few come, good ones alone kept nodes paced long after the jam. A single error paces nothing, nor do
 // those of one server alone: where hosts are few, one that fails was taken for what all of them call.
 func (b *Brain) shared(r *request, a *attempt, took time.Duration, failed bool) {
 	if failed && a.to == b.failing {
@@ -189,8 +188,11 @@
 	} else if failed {
 		b.failing = a.to
 	}
-	b.setup += (took - b.setup) / 8
-	if b.setup < b.set.Classes[r.Class].SetupAim/2 || a.at < b.cutAt {
+	aim := b.set.Classes[r.Class].SetupAim / 2
+	if b.setup += (took - b.setup) / 8; a.at < b.cutAt || b.setup < aim && (failed || took >= aim) {
+		return
+	} else if !failed && took < aim {
+		b.gap, b.nextSend = b.gap/2, min(b.nextSend, b.now+b.gap/2)
 		return
 	}
 	if b.gap == 0 {
@@ -549,8 +551,9 @@
 		b.depart()
 	}
 	// What was sent since the last trouble must have had the time to tell: easing sooner feeds a jam again.
-	if b.gap > 0 && b.now > b.cutAt+max(sweepEvery, 2*b.setup) {
-		if b.gap = b.gap * 4 / 5; b.gap < b.usual()/paceOff {
+	// Where some come, one has to be sent too: failures, seldom by then, did not keep up with time alone.
+	if b.gap > 0 && b.now > b.cutAt+max(sweepEvery, 2*b.setup+b.gap/2*time.Duration(min(b.came+b.coming, 1))) {
+		if b.gap, b.cutAt = b.gap*4/5, b.now; b.gap < b.usual()/paceOff {
 			b.gap = 0
 			b.log("set-ups are well: no longer paced")
 		}
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -172,7 +172,7 @@
 // capacity, covers one more connection. A cold server takes them no faster than fills it over its warm-up,
 // more from half warm on; full it has its part of the tenants' quotas, of the fleet at its largest. Without
 // them it is what this node places, or, where all are cold and nothing is placed, its share of what comes.
-// Under one in a window is one in some of as many as come here for it: saved up, many shares would come together.
+// Under one in a window is one in some of as many as come for it: saved up, many shares would come together.
 func (b *Brain) affords(s *server) bool {
 	share := b.coldness(s)
 	if share >= 1 || b.set.FallWindow <= 0 { // without a window there is no budget to keep
@@ -193,8 +193,7 @@
 
 // strike notes a failed attempt and shuts the server out for a time.
 func (b *Brain) strike(s *server, span time.Duration) {
-	s.strikes++
-	s.suspect = max(s.suspect, b.now+span)
+	s.strikes, s.suspect = s.strikes+1, max(s.suspect, b.now+span)
 	if s.strikes == 2 {
 		b.log("server " + string(s.id) + " suspect: it fails attempts")
 	}
--- a/brain/ramp_test.go
+++ b/brain/ramp_test.go
@@ -98,3 +98,60 @@
 		t.Errorf("shares four times too large are not seen: %.2f roots over", worst)
 	}
 }
+
+// While what all servers call is jammed, a pace holds at the usual rate, whatever time passes: one that eased with time
+// alone let the fleet send four times that into the jam, which never ended. Behind it, good set-ups end the pace soon.
+func TestAPaceHoldsWhileAJamLasts(t *testing.T) {
+	s := testSettings()
+	s.GroupSize = 300
+	s.Tenants = []Tenant{{Connections: 600}}
+	b := started(t, s, 40)
+	type out struct {
+		id      RequestID
+		attempt int
+		to      ServerID
+		at      time.Duration
+	}
+	var under []out
+	n := 0
+	sent := func(now time.Duration, actions []Action) {
+		for _, q := range sends(actions) {
+			under = append(under, out{q.ID, len(b.reqs[q.ID].attempts) - 1, q.Server, now})
+		}
+	}
+	play := func(from, to, every, takes time.Duration, fails bool) {
+		for now := from; now < to; now += 10 * ms {
+			if now%every == 0 {
+				n++
+				id := RequestID(fmt.Sprint("j", n))
+				sent(now, b.Handle(now, Arrival{ID: id, Key: string(id), Left: 2 * time.Second}))
+			}
+			for len(under) > 0 && under[0].at+takes <= now {
+				o := under[0]
+				under = under[1:]
+				if fails {
+					sent(now, b.Handle(now, Settled{ID: o.id, Attempt: o.attempt, Server: o.to, Took: takes, Outcome: NoAnswer}))
+				} else {
+					b.Handle(now, Opened{ID: o.id, Attempt: o.attempt, Server: o.to, Took: takes})
+				}
+			}
+			if now%sweepEvery == 0 {
+				sent(now, b.Handle(now, Timer{Token: sweepToken}))
+			}
+			sent(now, b.Handle(now, Timer{Token: waitToken}))
+		}
+	}
+	play(10*ms, 20*time.Second, time.Second, 20*ms, false)
+	if b.gap != 0 {
+		t.Fatalf("paced at %v while all is well", b.gap)
+	}
+	usual := b.usual()
+	play(20*time.Second, 50*time.Second, 250*ms, 600*ms, true)
+	if b.gap < usual/2 {
+		t.Errorf("in the jam it sends one in %v, usually one in %v", b.gap, usual)
+	}
+	play(50*time.Second, 60*time.Second, 500*ms, 20*ms, false)
+	if b.gap > usual/8 {
+		t.Errorf("behind it, it sends one in %v, usually one in %v", b.gap, usual)
+	}
+}
