--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -461,3 +461,45 @@
 		}
 	}
 }
+
+// A connection that stands is moved and broken by its host, in either order: the client hears of the first alone, and the
+// host's side is closed. The driver's word is held, or the host's reset, until the other has come.
+func TestAMoveAndAResetOfTheHost(t *testing.T) {
+	for _, moved := range []bool{true, false} {
+		t.Run(fmt.Sprintf("moved first %v", moved), func(t *testing.T) {
+			broken := make(chan struct{})
+			addr := host(t, func(c *net.TCPConn) {
+				_, _ = bufio.NewReader(c).ReadString('\n')
+				_, _ = io.WriteString(c, "UP r\r\n")
+				<-broken
+				_ = c.SetLinger(0)
+			})
+			r := newRig(t, zap.NewNop(), true, addr)
+			_, in := r.ask(t, "OPEN a key c=chat,d=5000")
+			if line, err := in.ReadString('\n'); line != "UP r\r\n" || err != nil {
+				t.Fatalf("heard %q, error %v", line, err)
+			}
+			k := r.only(t)
+			if moved {
+				k.Move()
+				close(broken)
+			} else {
+				k.mu.Lock() // the move waits for the connection, which ends meanwhile
+				done := make(chan struct{})
+				go func() {
+					k.Move()
+					close(done)
+				}()
+				close(broken)
+				waitFor(t, "it has ended", func() bool { return r.n.Open() == 0 })
+				k.mu.Unlock()
+				<-done
+			}
+			all, err := io.ReadAll(in)
+			if moved && (string(all) != wire.Move || err != nil) || !moved && (len(all) > 0 || err == nil) {
+				t.Errorf("heard %q, error %v", all, err)
+			}
+			r.quiet(t)
+		})
+	}
+}
--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -65,11 +65,11 @@
 // part ends both sides after the relay has: err is what ended it.
 func (c *conn) part(host *net.TCPConn, r *wire.Relay, err error, stuck bool, attempt int, start time.Time) {
 	outcome := brain.Reset
-	left := c.leftFIN.Load() || c.leftRST.Load()
+	left, moved := c.leftFIN.Load() || c.leftRST.Load(), c.moving.Load() // as it ended: a word that comes now is too late
 	switch {
 	case r.Last() == wire.AnswerBye:
 		outcome = brain.Served
-	case r.Last() == wire.AnswerMove || left || c.moving.Load():
+	case r.Last() == wire.AnswerMove || left || moved:
 		outcome = brain.Cancelled
 	}
 	if c.leftRST.Load() {
@@ -78,12 +78,12 @@
 		_ = host.Close()
 	}
 	c.d.log.Debug("a connection ended", zap.String("request", c.open.ID), zap.Stringer("host", host.RemoteAddr()),
-		zap.Bool("moved", c.moving.Load()), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
+		zap.Bool("moved", moved), zap.Bool("client left", left), zap.Duration("after", time.Since(start)),
 		zap.Duration("longest answer", c.longest),
 		zap.Error(err))
 	c.d.node.Settled(c.id, c, attempt, time.Since(start), outcome)
 	switch {
-	case c.moving.Load() && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
+	case moved && !left && !stuck && r.Between() && !errors.Is(err, io.EOF):
 		c.stopReading()
 		c.finish(wire.Move)
 	case errors.Is(err, io.EOF):
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -786,3 +786,31 @@
 		})
 	}
 }
+
+// A watch that is refused in the moment in which discovery is named anew, on either side of that: the new one is asked for
+// the whole list, the refusal of the old one is none of its, and nothing is asked twice once its list is there.
+func TestAWatchRefusedAsDiscoveryIsNamedAnew(t *testing.T) {
+	refused, named := event{kind: evWatchFailed, call: 1}, event{kind: evFollow, text: "new:1"}
+	for name, order := range map[string][]event{"refused first": {refused, named}, "named first": {named, refused}} {
+		for _, ask := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, asked for %v", name, ask), func(t *testing.T) {
+				n, w, _ := held(t, entry("s1", wire.Serving))
+				n.set.AskList = ask
+				n.watch()
+				for _, e := range order {
+					n.take(e)
+				}
+				if last := w.watches[len(w.watches)-1]; len(w.watches) != 2 || last.Addr != "new:1" || last.After != Whole {
+					t.Fatalf("calls %v", w.watches)
+				}
+				list := wire.Catalog{Revision: 3, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}
+				n.take(event{kind: evList, call: 2, list: &list})
+				n.take(refused)
+				n.pulse(time.Now().Add(time.Minute))
+				if len(w.watches) != 2 || n.revision != 3 {
+					t.Errorf("calls %v, revision %d", w.watches, n.revision)
+				}
+			})
+		}
+	}
+}
