A call for the list that was refused at once leaves more time until the next one

Cause: with the pause cut to 2.5 s for all, 300 nodes behind a service that gives up calls after a second would come again at 130 a second; one that bears 90 would work through given-up calls for ever. Change: AskAgain, or twice that less what the call took: 6 s are still kept, as the failure itself came sooner.

--- a/brain/api.go
+++ b/brain/api.go
@@ -11,9 +11,10 @@
 	RequestID string
 )
 
-// AskAgain is the longest time between the end of a call to the server list that failed and the wish for the next one
-// (Watch), whatever failed before and however many nodes there are: what the list has is to be known 6 s after it could be
-// reached, of which 3 s may go into a call that is lost just then.
+// AskAgain is the longest time between the end of a call to the server list that failed, or of a watch, and the wish for the
+// next one (Watch), whatever failed before and however many nodes there are; where the call took less than AskAgain, twice
+// that less what it took. What the list has is to be known 6 s after it could be reached, of which 3 s may go into a call
+// that is lost just then; one that was refused at once leaves more, and many nodes need it so as not to come together.
 const AskAgain = 2500 * time.Millisecond
 
 // Effect says how safely a request of a class may be repeated.
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -22,10 +22,10 @@
 // listed takes in the server list: removals and drains first, then fills, both in id order, so that every
 // node that is told of a version changes its table alike.
 func (b *Brain) listed(e ListEvent) {
-	if e.Kind == ListFailed { // back off with jitter, doubling, never past AskAgain
-		b.asking, b.watching = false, false
+	if e.Kind == ListFailed { // back off with jitter, doubling, as far as AskAgain allows
 		b.backoff = min(max(2*b.backoff, sweepEvery), b.set.AskWithin/4, AskAgain/2)
-		b.askNotBy = b.now + b.backoff/2 + b.jitter(min(b.apart(b.backoff), AskAgain*3/5))
+		room := max(AskAgain, 2*AskAgain+b.askedAt-b.now) * 2 / 3
+		b.asking, b.watching, b.askNotBy = false, false, b.now+b.backoff/2+b.jitter(min(b.apart(b.backoff), room))
 		return
 	}
 	if e.Kind != ListAside { // a word of an operator before the first list must not pass for a watch
@@ -90,7 +90,7 @@
 // apart is the span over which the nodes that would ask the list at once do so, own at least. A few calls
 // wait for each other and no harm is done; of many most are given up, and the list works through those
 // too: if they then ask again in as short a time, none of them is ever served. Half the time allowed is
-// twice as fast as the list must bear, whoever the nodes are.
+// twice as fast as the list must bear, whoever the nodes are. What AskAgain leaves is less.
 func (b *Brain) apart(own time.Duration) time.Duration {
 	return max(own, time.Duration(float64(b.set.AskWithin)/2*min(1, float64(b.set.GroupSize)/fewCalls/2-0.5)))
 }
--- a/internal/driver/watch_test.go
+++ b/internal/driver/watch_test.go
@@ -23,6 +23,7 @@
 	const answer = 400 * time.Millisecond
 	for what, longest := range map[string]time.Duration{
 		"asked, a watch falls silent": beatWait + brain.AskAgain, "asked, a call is lost": callWait + brain.AskAgain,
+		"asked, a call is refused":   2 * brain.AskAgain,
 		"told, a watch falls silent": beatWait + node.WatchAgain, "told, a call is lost": callWait + node.WatchAgain,
 	} {
 		if longest+answer > toldWithin {
