--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -504,3 +504,22 @@
 		})
 	}
 }
+
+// A word of the loop on an attempt that has ended is none on the next one: that waits for its own.
+func TestAWordOnAnAttemptThatHasEndedIsPassedOver(t *testing.T) {
+	h := counting(t, "UP r\r\n")
+	r := newRig(t, zap.NewNop(), false, h.addr)
+	r.ask(t, "OPEN a key c=chat,d=500000")
+	k := r.only(t)
+	waitFor(t, "it waits for the loop", func() bool { return r.d.Owing() == 1 })
+	k.Go(0, true) // late
+	var in wire.Inbox
+	defer in.Free()
+	_, _, failed := k.try(node.Attempt{N: 1, Addr: h.addr, Timeout: 200 * time.Millisecond}, &in)
+	if failed == nil || failed.Stage != Asking {
+		t.Errorf("%v; want that it still asks", failed)
+	}
+	if n := h.lines.Load(); n != 0 {
+		t.Errorf("the host heard %d lines", n)
+	}
+}
