--- a/internal/driver/request.go
+++ b/internal/driver/request.go
@@ -154,6 +154,8 @@
 	case <-c.verdict: // an answer to an attempt that did not wait for it
 	default:
 	}
+	late := time.NewTimer(a.Timeout) // a loop that does not answer must not hold the client past its time
+	defer late.Stop()
 	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error {
 		c.d.node.Connected(c.id, c, a.N)
 		select {
@@ -164,6 +166,8 @@
 			return nil
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-late.C:
+			return errTooLate
 		}
 	}, in)
 }
