A process that was told to stop takes nothing over and is no successor

Cause: two processes of one node that were both told to stop each took the other for its successor (the mark said ready until the end, adopt took until the context ended): they handed the same connections back and forth, 20 of them 196 to 2,380 times in 3 s, until one was gone with what it had just taken: its clients were reset, with no MOVE. Seen by a test that told both to stop (one of four runs, reset); the lines are share, ready and adopt in internal/lifecycle. Change: from its signal on a process marks itself as not ready and takes nothing; who ends beside it moves its clients itself. Ruled out: an offer that is taken while its process stands still, past its time: the rename decides, nothing is torn.

--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -129,6 +129,7 @@
 		select {
 		case <-stop.Done():
 			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
+			both.end()
 			by := lastMoment(cfg.Settings.Settings)
 			n.End(by.Add(-early)) // clients may wait for longer than the node lasts
 			begin, successor := time.Now(), func() bool { return l.inherited && both.ready() }
--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -33,6 +33,7 @@
 	seen   uint64      // the document's changes that are in force here
 	failed bool        // the folder could not be used
 	alone  atomic.Bool // no other process was there when last looked
+	ends   atomic.Bool // this process was told to stop: it takes nothing over any more
 }
 
 // newShared opens the folder where operators can call the node or the platform may start it twice.
@@ -61,7 +62,16 @@
 	s.orders = orders
 	if s.store != nil {
 		s.look()
-		s.share(true)
+		s.share()
+	}
+}
+
+// end says that this process was told to stop. It is no successor from then on: two that both end handed the same
+// connections to each other, until one of them was gone with what it had just taken.
+func (s *shared) end() {
+	s.ends.Store(true)
+	if s.store != nil {
+		s.share()
 	}
 }
 
@@ -84,7 +94,7 @@
 			return
 		case <-ticks.C:
 			s.look()
-			s.share(true)
+			s.share()
 		}
 	}
 }
@@ -104,9 +114,9 @@
 	return false
 }
 
-// share tells the others what this process holds, and leaves them what they hold.
-func (s *shared) share(ready bool) {
-	s.note(s.store.Tell(handover.Mark{Ready: ready, Descriptors: s.driver.Holds()}))
+// share tells the others what this process holds and whether it takes over, and leaves them what they hold.
+func (s *shared) share() {
+	s.note(s.store.Tell(handover.Mark{Ready: !s.ends.Load(), Descriptors: s.driver.Holds()}))
 	others, err := s.store.Others()
 	if s.note(err); err != nil {
 		return // as it was
--- a/internal/lifecycle/takeover.go
+++ b/internal/lifecycle/takeover.go
@@ -61,7 +61,7 @@
 	return out
 }
 
-// adopt takes up what other processes offer, until the context ends.
+// adopt takes up what other processes offer, until this one is told to stop.
 func (s *shared) adopt(ctx context.Context) {
 	if s.store == nil {
 		return
@@ -69,7 +69,7 @@
 	failed := false
 	for ctx.Err() == nil {
 		wait := lookAt
-		if !s.alone.Load() {
+		if !s.alone.Load() && !s.ends.Load() {
 			wait = offerAt
 			all, facts, err := s.store.Take()
 			if err != nil && !failed {
