Broken settings name their own field; unknown words of mode and registryMode end the start

Cause: a negative deadline or window was reported as the class's aim; negative worth, message aims, quotas and the worth over a share were taken; registryMode "poll" passed for push and mode "through" for proxy, so that a node of another customer would have gone on by other rules than its settings say. Change: one table of bounds with each class's, tenant's and aim's own name; the two words are checked, none is as before. Tests: TestErrorsNameTheField has 13 more broken variants and one with another name (8 of them fail before), TestWhatIsNotSet says what a missing field or a limit of 0 means, ten cases, which held before.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,6 +103,12 @@
 
 func at(field string, err error) error { return &FieldError{field, err} }
 
+// bound is a figure that may not be under the least that it can mean.
+type bound struct {
+	name     string
+	v, least float64
+}
+
 // Parse reads the settings object. Keys that it does not know are passed over; an error is a *FieldError.
 func Parse(seed uint64, raw []byte) (Settings, error) {
 	var f facts
@@ -129,11 +135,15 @@
 	if f.Limits.RetryAfter {
 		s.MaxRetryAfter = f.Limits.MaxRetryAfter.duration()
 	}
-	for _, bound := range []struct {
-		name     string
-		v, least float64
-	}{
-		{"groupSize", float64(f.GroupSize), 0}, {"index", float64(f.Index), 0},
+	for _, word := range []struct{ name, v, one, other string }{
+		{"registryMode", f.RegistryMode, "push", "ask"}, {"domain.mode", f.Domain.Mode, "proxy", "pass"},
+	} {
+		if word.v != "" && word.v != word.one && word.v != word.other {
+			return s, at(word.name, fmt.Errorf("unknown word %q", word.v))
+		}
+	}
+	bounds := []bound{
+		{"groupSize", float64(f.GroupSize), 0}, {"index", float64(f.Index), 0}, {"overShareWorth", f.OverShareWorth, 0},
 		{"limits.maxAttempts", float64(f.Limits.MaxAttempts), 0},
 		{"limits.connectTimeout", float64(f.Limits.ConnectTimeout), 0},
 		{"limits.maxRetryAfter", float64(f.Limits.MaxRetryAfter), 0},
@@ -142,9 +152,21 @@
 		{"rules.fallMultiple", f.Rules.FallMultiple, 0}, {"rules.overloadFor", float64(f.Rules.OverloadFor), 0},
 		{"rules.stopSendingWithin", float64(f.Rules.StopSendingWithin), 0},
 		{"rules.warmWithin", float64(f.Rules.WarmWithin), 0}, {"prices.crossZone", f.Prices.CrossZone, 0},
-	} {
-		if bound.v < bound.least || bound.v > 1e12 {
-			return s, at(bound.name, fmt.Errorf("%g is out of range", bound.v))
+	}
+	for i, l := range f.Lanes {
+		name := fmt.Sprintf("lanes[%d].", i)
+		bounds = append(bounds, bound{name + "aim", float64(l.Aim), 0}, bound{name + "deadline", float64(l.Deadline), 0},
+			bound{name + "window", float64(l.Window), 0}, bound{name + "worth", l.Worth, 0})
+	}
+	for i, aim := range f.Domain.MessageAim {
+		bounds = append(bounds, bound{fmt.Sprintf("domain.messageAim[%d]", i), float64(aim), 0})
+	}
+	for i, open := range f.Domain.TenantOpen {
+		bounds = append(bounds, bound{fmt.Sprintf("domain.tenantQuotaConnections[%d]", i), open, 0})
+	}
+	for _, b := range bounds {
+		if b.v < b.least || b.v > 1e12 {
+			return s, at(b.name, fmt.Errorf("%g is out of range", b.v))
 		}
 	}
 	if f.Rules.ColdShare > 1 {
@@ -163,9 +185,6 @@
 		if !ok {
 			return s, at(name+"group", fmt.Errorf("unknown word %q", l.Group))
 		}
-		if l.Aim < 0 || l.Deadline < 0 || l.Window < 0 {
-			return s, at(name+"aim", errors.New("a time is negative"))
-		}
 		c := brain.Class{SetupAim: l.Aim.duration(), Deadline: l.Deadline.duration(), Worth: l.Worth,
 			Effect: effect, Scope: scope, Window: l.Window.duration()}
 		if i < len(f.Domain.MessageAim) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -70,6 +70,32 @@
 	}
 }
 
+// What another customer's settings lack or set to nothing means what the page says: no limit, no advice, no repeat that is
+// not proved safe, a tenant without a share.
+func TestWhatIsNotSet(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		holds    func(s Settings) bool
+	}{
+		{`"deadline":1800.5,`, ``, func(s Settings) bool { return s.Classes[0].Deadline == 0 }},
+		{`"aim":300,`, ``, func(s Settings) bool { return s.Classes[0].SetupAim == 0 }},
+		{`"window":5000,`, ``, func(s Settings) bool { return s.Classes[0].Effect == brain.Keyed && s.Classes[0].Window == 0 }},
+		{`"semantics":"keyed",`, ``, func(s Settings) bool { return s.Classes[0].Effect == brain.Safe }},
+		{`"maxAttempts":5`, `"maxAttempts":0`, func(s Settings) bool { return s.MaxAttempts == 0 }},
+		{`"maxRetryAfter":2000`, `"maxRetryAfter":0`, func(s Settings) bool { return s.MaxRetryAfter == 0 }},
+		{`"tenantQuotaConnections":[48]`, `"tenantQuotaConnections":[]`, func(s Settings) bool { return len(s.Tenants) == 2 && s.Tenants[0].Connections == 0 }},
+		{`"messageAim":[50],`, ``, func(s Settings) bool { return s.Classes[0].MessageAim == 0 }},
+		{`"overloadFor":1000,`, ``, func(s Settings) bool { return s.FallWindow == 0 }},
+		{`"customers":[{"name":"acme"},{"name":"other"}],`, ``, func(s Settings) bool { return len(s.Tenants) == 0 }},
+	} {
+		text := strings.Replace(whole, c.from, c.to, 1)
+		s, err := Parse(1, []byte(text))
+		if text == whole || err != nil || !c.holds(s) {
+			t.Errorf("%s: error %v, %+v", c.from, err, s.Settings)
+		}
+	}
+}
+
 func TestErrorsNameTheField(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
 		{`"worth":3`, `"worth":"much"`, "lanes.worth"},
@@ -78,7 +104,20 @@
 		{`"coldShare":0.3`, `"coldShare":1.5`, "rules.coldShare"},
 		{`"groupSize":3`, `"groupSize":-3`, "groupSize"},
 		{`"group":"zone"`, `"group":"town"`, "lanes[0].group"},
-		{`"deadline":1800.5`, `"deadline":-1`, "lanes[0].aim"},
+		{`"deadline":1800.5`, `"deadline":-1`, "lanes[0].deadline"},
+		{`"aim":300`, `"aim":-300`, "lanes[0].aim"},
+		{`"window":5000`, `"window":-1`, "lanes[0].window"},
+		{`"window":5000`, `"window":"long"`, "lanes.window"},
+		{`"worth":3`, `"worth":-3`, "lanes[0].worth"},
+		{`"semantics":"keyed"`, `"semantics":"once"`, "lanes[0].semantics"},
+		{`"messageAim":[50]`, `"messageAim":[-50]`, "domain.messageAim[0]"},
+		{`"messageAim":[50]`, `"messageAim":50`, "domain.messageAim"},
+		{`"tenantQuotaConnections":[48]`, `"tenantQuotaConnections":[-48]`, "domain.tenantQuotaConnections[0]"},
+		{`"overShareWorth":0.1`, `"overShareWorth":-0.1`, "overShareWorth"},
+		{`"registryMode":"ask"`, `"registryMode":"poll"`, "registryMode"},
+		{`"mode":"pass"`, `"mode":"through"`, "domain.mode"},
+		{`"maxAttempts":5`, `"maxAttempts":2.5`, "limits.maxAttempts"},
+		{`"lanes":[`, `"lanes":[],"old":[`, "lanes"},
 		{`"unheardOf":{"x":[1]}`, `"prices":{"crossZone":-0.1}`, "prices.crossZone"},
 		{`{"index"`, `["index"`, ""},
 	} {
