--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/coldstart"
+	"onyxstream/internal/wire"
+)
+
+// The events of connections and discovery, as one flat type: a report of load costs no memory.
+type kind uint8
+
+const (
+	evArrive kind = iota
+	evInherit
+	evConnected
+	evOpened
+	evSettled
+	evLoad
+	evGone
+	evList
+	evWatchFailed
+	evFollow
+	evPinged
+	evMoveAll
+	evResume
+	evLeave
+	evWord
+	evView
+	evFacts
+	evLearn
+	evBeat
+	evPassed
+	evHeard
+	evStart
+	evEnd
+)
+
+type event struct {
+	kind    kind
+	id      brain.RequestID
+	attempt int
+	took    time.Duration
+	outcome brain.Outcome
+	load    float64
+	port    Port
+	opening *wire.Opening
+	until   time.Time
+	list    *wire.Catalog
+	call    uint64
+	reply   chan place
+	view    chan View
+	facts   []Fact
+	tell    chan []Fact
+	text    string
+	away    *Away
+	must    bool
+	verdict chan error
+	passed  *Passed
+	use     chan bool
+	state   chan coldstart.State
+}
+
+// post hands an event to the loop. Once the loop has ended, events are dropped.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.done:
+	}
+}
+
+// Arrive tells of a client's first line; until is when the client stops waiting.
+func (n *Node) Arrive(o *wire.Opening, until time.Time, p Port) {
+	n.post(event{kind: evArrive, id: brain.RequestID(o.ID), opening: o, until: until, port: p})
+}
+
+// Whatever a connection tells of its request, it tells with its own port: the id is the client's to choose, and a
+// second client with the id of an open request must not speak for the first.
+
+// Inherit tells of a connection that stood at its host before the run and is up there again; Resume came before.
+func (n *Node) Inherit(o *wire.Opening, p Port) {
+	n.post(event{kind: evInherit, id: brain.RequestID(o.ID), opening: o, port: p})
+}
+
+// Connected asks whether an attempt whose connection has come up may still be written.
+func (n *Node) Connected(id brain.RequestID, p Port, attempt int) {
+	n.post(event{kind: evConnected, id: id, port: p, attempt: attempt})
+}
+
+// Opened tells that a host has taken the connection.
+func (n *Node) Opened(id brain.RequestID, p Port, attempt int, took time.Duration) {
+	n.post(event{kind: evOpened, id: id, port: p, attempt: attempt, took: took})
+}
+
+// Settled tells how an attempt ended; its connection must be closed by then.
+func (n *Node) Settled(id brain.RequestID, p Port, attempt int, took time.Duration, outcome brain.Outcome) {
+	e := settledEvent(id, attempt, outcome)
+	e.took, e.port = took, p
+	n.post(e)
+}
+
+func settledEvent(id brain.RequestID, attempt int, outcome brain.Outcome) event {
+	return event{kind: evSettled, id: id, attempt: attempt, outcome: outcome}
+}
+
+// Load tells a connection's load.
+func (n *Node) Load(id brain.RequestID, p Port, load float64) {
+	n.post(event{kind: evLoad, id: id, port: p, load: load})
+}
+
+// Gone tells that nothing more is owed to a client, and how many sends its connection has taken: a later one
+// is on its way to no one, and is settled here.
+func (n *Node) Gone(id brain.RequestID, p Port, taken int) {
+	n.post(event{kind: evGone, id: id, port: p, attempt: taken})
+}
+
+// place is where a connection stands that stood before the run.
+type place struct {
+	addr string // "" where that is not known yet
+	ok   bool   // it may be taken up
+}
+
+// Resume takes in a connection that stood at its host before the run and asks where that is, "" where that is not
+// known yet; false where its id is held already, or the loop has ended. Inherit or Gone must follow.
+func (n *Node) Resume(o *wire.Opening, p Port) (addr string, ok bool) {
+	reply := make(chan place, 1)
+	n.post(event{kind: evResume, id: brain.RequestID(o.ID), opening: o, port: p, reply: reply})
+	select {
+	case at := <-reply:
+		return at.addr, at.ok
+	case <-n.done:
+		return "", false
+	}
+}
+
+// Knows reports whether the settings have the class and the tenant that a client names. It may be asked from
+// anywhere: the names never change.
+func (n *Node) Knows(o *wire.Opening) bool {
+	_, class := n.classes[o.Class]
+	_, tenant := n.tenants[o.Tenant]
+	return class && (tenant || len(n.tenants) == 0)
+}
+
+// Listed hands over news that a call to discovery brought.
+func (n *Node) Listed(call uint64, c *wire.Catalog) {
+	n.post(event{kind: evList, call: call, list: c})
+}
+
+// WatchFailed tells that a call to discovery failed, or that its watch broke, and when discovery said to come again: 0
+// where it did not say.
+func (n *Node) WatchFailed(call uint64, after time.Duration) {
+	n.post(event{kind: evWatchFailed, call: call, took: after})
+}
+
+// Follow has the list asked for at another address from now on.
+func (n *Node) Follow(addr string) { n.post(event{kind: evFollow, text: addr}) }
+
+// Pinged tells what a message took at a host, or that no answer came in that time; below 0 where the host could
+// not be asked, which says nothing of its messages.
+func (n *Node) Pinged(id brain.ServerID, took time.Duration) {
+	n.post(event{kind: evPinged, id: brain.RequestID(id), took: took})
+}
+
+// MoveAll sends all clients away, spread evenly over the time there is.
+func (n *Node) MoveAll(by time.Time) { n.post(event{kind: evMoveAll, until: by}) }
+
+// Owed tells how many requests wait for their final answer; Open how many connections stand.
+func (n *Node) Owed() int64 { return n.owed.Load() }
+
+// Open tells how many connections stand.
+func (n *Node) Open() int64 { return n.open.Load() }
