News of a watch that was left no longer passes for one: the new discovery is asked on

Ruled out: the clocks of watches (a call each 2.5 s until 15.3 s), a silent watch (none of them is open). Change: news of a call behind which another was made is marked (Behind) and says nothing of questions to the list. Tests: TestNewsOfAnOlderWatchDoesNotPassForTheNewOne (node, virtual time), TestNewsOfTheOldWatchBehindARefusalOfTheNewOne (processes and sockets); both fail each time without the change (2 of 2, 6 of 6).

--- a/brain/api.go
+++ b/brain/api.go
@@ -125,6 +125,7 @@
 		Kind    ListKind
 		Version int64
 		Servers []Server
+		Behind  bool // of a call behind which another was made: it tells nothing of that one, which may have failed
 	}
 	// Arrival is a new request, owed exactly one final answer.
 	Arrival struct {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -27,7 +27,7 @@
 		b.asking, b.watching, b.askNotBy = false, false, b.now+b.backoff/2+b.jitter(min(b.apart(b.backoff), room))
 		return
 	}
-	if e.Kind != ListAside { // a word of an operator before the first list must not pass for a watch
+	if e.Kind != ListAside && !e.Behind { // an operator's word, or what an older call brings, is no watch
 		b.watching, b.asking, b.backoff = e.Kind != ListCached, false, 0
 	}
 	rows := slices.SortedFunc(slices.Values(e.Servers), func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
--- a/cmd/onyxstream/reload_test.go
+++ b/cmd/onyxstream/reload_test.go
@@ -148,3 +148,36 @@
 		t.Errorf("the node ended with %v", err)
 	}
 }
+
+// The watch at the old discovery goes on while the new one refuses, and brings news behind that refusal; then it ends too.
+// The new one is asked on: that news passed for a watch at it, and nothing that came to the list was heard of any more.
+func TestNewsOfTheOldWatchBehindARefusalOfTheNewOne(t *testing.T) {
+	t.Parallel()
+	a, b, c := newHost(t, "ha"), newHost(t, "hb"), newHost(t, "hc")
+	old := newRegistry(t, list(41, true, a.member("SERVING")))
+	p := start(t, options{known: list(41, true, a.member("SERVING"))}, old.addr)
+	eventually(t, "the first watch", func() bool { return old.Watching() == 1 })
+	reg := newRegistry(t, list(3, true, c.member("SERVING")))
+	reg.turn(true)
+	p.hup(t, old.addr, reg.addr)
+	uses := func(on *host) { // each client leaves again: they would fill the node
+		t.Helper()
+		eventually(t, on.id+" is used", func() bool {
+			k := p.open(t, "")
+			defer k.c.Close()
+			return strings.Contains(k.hears("UP "), "from-"+on.id)
+		})
+	}
+	eventually(t, "the new discovery is asked", func() bool { return len(reg.called()) > 0 })
+	p.logs(t, "discovery answered 503")
+	for i := int64(0); i < 4; i += 2 { // one of them comes while no call to the new one is out
+		old.tell(list(42+i, false, b.member("SERVING"), a.member("DRAINING")))
+		uses(b)
+		old.tell(list(43+i, false, a.member("SERVING"), b.member("DRAINING")))
+		uses(a)
+	}
+	old.turn(true)
+	eventually(t, "the old watch has ended", func() bool { return old.Watching() == 0 })
+	reg.turn(false)
+	uses(c)
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -45,11 +45,11 @@
 	wire.Serving: brain.Live, wire.Draining: brain.Draining, wire.Deleted: brain.Gone,
 }
 
-// list takes in news of the hosts and tells the module.
-func (n *Node) list(c *wire.Catalog, kind brain.ListKind) {
+// list takes in news of the hosts and tells the module; behind says that a later call to discovery was made.
+func (n *Node) list(c *wire.Catalog, kind brain.ListKind, behind bool) {
 	now := time.Now()
 	c = n.bounded(c)
-	ev := brain.ListEvent{Kind: kind, Version: c.Revision, Servers: make([]brain.Server, 0, len(c.Members))}
+	ev := brain.ListEvent{Kind: kind, Version: c.Revision, Behind: behind, Servers: make([]brain.Server, 0, len(c.Members))}
 	named := make(map[brain.ServerID]bool, len(c.Members))
 	for _, e := range c.Members {
 		id := brain.ServerID(e.ID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 			n.slowFrom = from
 		}
 	}
-	n.list(&known, brain.ListCached)
+	n.list(&known, brain.ListCached, false)
 	n.revision = known.Revision
 	return n
 }
@@ -207,7 +207,7 @@
 		if e.list.Complete {
 			kind = brain.ListFull
 		}
-		n.list(e.list, kind)
+		n.list(e.list, kind, e.call != n.call)
 		if e.call == n.call { // a version of the discovery that was left means nothing to the one that is followed
 			n.revision = e.list.Revision
 			n.told()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -194,7 +194,7 @@
 func TestNothingIsWrittenAfterTheDrainsGrace(t *testing.T) {
 	n, _, _ := held(t, entry("s1", wire.Serving))
 	p := arrive(t, n, "r")
-	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("s1", wire.Draining)}}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("s1", wire.Draining)}}, brain.ListChange, false)
 	n.take(event{kind: evConnected, id: "r"})
 	if !strings.HasSuffix(p.heard(), "go 0 true") {
 		t.Fatalf("within the grace: %s", p.heard())
@@ -205,11 +205,11 @@
 		t.Fatalf("after the grace: %s", p.heard())
 	}
 	// Being told again, or that it is gone, does not start another grace.
-	n.list(&wire.Catalog{Revision: 9, Members: []wire.Member{entry("s1", wire.Deleted)}}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 9, Members: []wire.Member{entry("s1", wire.Deleted)}}, brain.ListChange, false)
 	if n.sendable(n.members["s1"]) {
 		t.Error("a second notice gives a second grace")
 	}
-	n.list(&wire.Catalog{Revision: 10, Members: []wire.Member{entry("s1", wire.Serving)}}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 10, Members: []wire.Member{entry("s1", wire.Serving)}}, brain.ListChange, false)
 	if !n.sendable(n.members["s1"]) {
 		t.Error("a host called back gets nothing")
 	}
@@ -222,7 +222,7 @@
 		t.Errorf("s1 %v, s2 %v, revision %d", n.members["s1"].state, n.members["s2"].state, n.revision)
 	}
 	n.members["s1"].toldAt = time.Now().Add(-2 * forgetAfter)
-	n.list(&wire.Catalog{Revision: 9}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 9}, brain.ListChange, false)
 	if n.members["s1"] != nil {
 		t.Error("a host gone for long is kept")
 	}
@@ -493,7 +493,7 @@
 	if !on.slow {
 		t.Error("a ping without an answer is no news")
 	}
-	n.list(&wire.Catalog{Members: []wire.Member{{ID: string(on.id), UpSince: 5, Size: 1}}}, brain.ListChange)
+	n.list(&wire.Catalog{Members: []wire.Member{{ID: string(on.id), UpSince: 5, Size: 1}}}, brain.ListChange, false)
 	if on.best != 0 {
 		t.Error("a host that has restarted is measured by what it was")
 	}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -169,7 +169,7 @@
 		}
 	}
 	if m != nil && m.state != brain.Gone {
-		n.list(&wire.Catalog{Revision: n.revision, Members: []wire.Member{m.listed}}, brain.ListAside)
+		n.list(&wire.Catalog{Revision: n.revision, Members: []wire.Member{m.listed}}, brain.ListAside, false)
 	}
 	return nil
 }
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -54,7 +54,7 @@
 	if err := n.word("later", true, false, at); err != nil || !n.words["later"] {
 		t.Errorf("an id that is listed only later: %v", err)
 	}
-	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("later", wire.Serving)}}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("later", wire.Serving)}}, brain.ListChange, false)
 	if n.members["later"].state != brain.Draining {
 		t.Error("it is used when it comes")
 	}
@@ -86,7 +86,7 @@
 		m    wire.Member
 		kind brain.ListKind
 	}{{again, brain.ListChange}, {gone, brain.ListChange}, {again, brain.ListChange}, {again, brain.ListFull}} {
-		n.list(&wire.Catalog{Revision: n.revision + 1, Complete: c.kind == brain.ListFull, Members: []wire.Member{c.m}}, c.kind)
+		n.list(&wire.Catalog{Revision: n.revision + 1, Complete: c.kind == brain.ListFull, Members: []wire.Member{c.m}}, c.kind, false)
 		if n.members["a"].state == brain.Live {
 			t.Errorf("with %+v it is used", c.m)
 		}
--- a/internal/node/sizes_test.go
+++ b/internal/node/sizes_test.go
@@ -22,12 +22,12 @@
 func TestAListTooLargeForTheMemoryIsNotTaken(t *testing.T) {
 	n, _, logs := held(t)
 	n.Bound(64)
-	n.list(&wire.Catalog{Revision: 1, Complete: true, Members: hosts(1024, wire.Serving)}, brain.ListFull)
+	n.list(&wire.Catalog{Revision: 1, Complete: true, Members: hosts(1024, wire.Serving)}, brain.ListFull, false)
 	if len(n.members) != 1024 || logs.Len() != 0 {
 		t.Fatalf("%d hosts are held; %v", len(n.members), logs.All())
 	}
 	large := append([]wire.Member{entry("s00000", wire.Draining)}, hosts(4000, wire.Serving)[2:]...) // s00001 is gone
-	n.list(&wire.Catalog{Revision: 2, Complete: true, Members: large}, brain.ListFull)
+	n.list(&wire.Catalog{Revision: 2, Complete: true, Members: large}, brain.ListFull, false)
 	if len(n.members) != 1024 || n.members["s00000"].state != brain.Draining || n.members["s00001"].state != brain.Gone ||
 		n.members["s00002"].state != brain.Live {
 		t.Errorf("%d hosts; the first are %+v", len(n.members), []brain.ServerState{n.members["s00000"].state,
@@ -38,7 +38,7 @@
 		t.Errorf("logged %v", lines)
 	}
 	// Changes add up to too many as well.
-	n.list(&wire.Catalog{Revision: 3, Members: slices.Concat(hosts(2, wire.Draining), hosts(1100, wire.Serving)[1024:])}, brain.ListChange)
+	n.list(&wire.Catalog{Revision: 3, Members: slices.Concat(hosts(2, wire.Draining), hosts(1100, wire.Serving)[1024:])}, brain.ListChange, false)
 	if n.members["s01050"] != nil {
 		t.Error("a change brought too many hosts")
 	}
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -69,7 +69,7 @@
 	n.service.Store(&service)
 	if n.start.State(n.now()).Part == coldstart.Old {
 		n.guessed = n.base.UnixMilli()
-		n.list(n.whole(), brain.ListCached)
+		n.list(n.whole(), brain.ListCached, false)
 	}
 	n.publish(n.whole())
 	n.step()
@@ -188,7 +188,7 @@
 		held := n.keepDrains(p.List)
 		n.log.Info("a list was passed on", zap.String("from", p.From), zap.Int64("revision", p.Offer.Revision),
 			zap.Duration("age", p.Offer.Age), zap.Int("hosts", len(p.List.Members)), zap.Int("drains kept", held))
-		n.list(p.List, brain.ListFull)
+		n.list(p.List, brain.ListFull, false)
 		n.revision = p.Offer.Revision
 		if held > 0 { // the service is to say whether they are over
 			n.doubt = true
@@ -237,7 +237,7 @@
 		ev.Members = append(ev.Members, m.listed)
 	}
 	if len(ev.Members) > 0 {
-		n.list(&ev, brain.ListChange)
+		n.list(&ev, brain.ListChange, false)
 		n.publish(nil)
 	}
 }
@@ -269,7 +269,7 @@
 	if n.guessed > 0 {
 		n.guessed = 0
 		clear(n.dead)
-		n.list(n.whole(), brain.ListFull)
+		n.list(n.whole(), brain.ListFull, false)
 	}
 }
 
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/wire"
+)
+
+// caller notes the calls to discovery of a loop that runs.
+type caller struct {
+	world
+	mu    sync.Mutex
+	calls []Call
+}
+
+func (a *caller) Watch(q Call) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls = append(a.calls, q)
+}
+
+func (a *caller) last() (q Call, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls[len(a.calls)-1], len(a.calls)
+}
+
+// A watch that goes on at the discovery that was left may bring news after the call to the new one was refused. It is not
+// that one's watch: when it ended too, nobody asked any more, and all that came to the list from then on was not heard of.
+func TestNewsOfAnOlderWatchDoesNotPassForTheNewOne(t *testing.T) {
+	for _, ask := range []bool{true, false} {
+		for _, complete := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				set := testSettings()
+				set.AskList = ask
+				a := &caller{}
+				known := wire.Catalog{Revision: 7, Complete: true, Members: []wire.Member{entry("s1", wire.Serving)}}
+				n := New(set, known, "old:1", a, zap.NewNop())
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = n.Run(ctx) }()
+				time.Sleep(7 * time.Second)
+				first, _ := a.last()
+				n.Listed(first.N, &wire.Catalog{Revision: 8, Members: []wire.Member{entry("s2", wire.Serving)}})
+				n.Follow("new:1")
+				synctest.Wait()
+				second, calls := a.last()
+				if second.Addr != "new:1" {
+					t.Fatalf("asks %+v", second)
+				}
+				n.WatchFailed(second.N, 0)
+				n.Listed(first.N, &wire.Catalog{Revision: 9, Complete: complete, Members: []wire.Member{entry("s1", wire.Serving), entry("s2", wire.Serving)}})
+				n.WatchFailed(first.N, 0)
+				time.Sleep(3 * time.Second) // brain.AskAgain and WatchAgain are shorter
+				synctest.Wait()
+				if third, now := a.last(); now <= calls || third.Addr != "new:1" || third.After != Whole {
+					t.Errorf("asked for %v, complete %v: after 3 s the last of %d calls is %+v, the one refused was the %dth", ask, complete, now, third, calls)
+				}
+			})
+		}
+	}
+}
