A node that has just started amid a jam paces at the second server that fails

Change: a node within ten seconds of its start of which nothing has come up yet paces once a second server fails. One server's failures, or one that came up before, pace nothing, as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -189,13 +189,16 @@
 // halve it, and time eases it. A single error paces nothing, nor do those of one server alone: where hosts
 // are few, one that fails was taken for what all of them call.
 func (b *Brain) shared(r *request, a *attempt, took time.Duration, failed bool) {
+	aim := b.set.Classes[r.Class].SetupAim / 2
+	next, guess := b.usual()
+	second := failed && guess && b.total == 0 && b.failing != nil // a node just started has met nothing else
 	if failed && a.to == b.failing {
 		return
 	} else if failed {
 		b.failing = a.to
 	}
-	aim := b.set.Classes[r.Class].SetupAim / 2
-	if b.setup += (min(took, 2*aim) - b.setup) / 4; a.at < b.cutAt || b.setup < aim && (failed || took >= aim) {
+	b.setup += (min(took, 2*aim) - b.setup) / 4
+	if a.at < b.cutAt || b.setup < aim && !second && (failed || took >= aim) {
 		return
 	} else if !failed && took < aim {
 		b.ease(b.gap / 2)
@@ -204,7 +207,6 @@
 	if b.gap == 0 {
 		b.log("set-ups fail or are slow at several servers: paced")
 	}
-	next, guess := b.usual()
 	if !failed {
 		next = min(max(b.gap*3/2, next/4), next)
 	} else if guess {
@@ -222,8 +224,7 @@
 	b.gap, b.nextSend = gap, min(b.nextSend, b.now+gap)
 }
 
-// usual is the time between connections as they usually come. A node that has just started guesses by its
-// mean so far: without it all who come to it at once would wait for seconds.
+// usual is the time between connections as they usually come, for a node just started a guess by its mean.
 func (b *Brain) usual() (gap time.Duration, guess bool) {
 	age, rate := (b.now - b.born).Seconds(), max(b.rate, 1/b.recover.Seconds())
 	if guess = age*rateSmooth < 1; guess {
--- a/brain/jam_test.go
+++ b/brain/jam_test.go
@@ -320,3 +320,32 @@
 		t.Errorf("%d timers were set", wakes)
 	}
 }
+
+// A node that has just started amid a jam learns of it by the second server that fails: by a mean alone it sent ten on, and
+// nodes that are restarted in turn kept the jam up. One server's failures, or one that came up before, pace nothing.
+func TestANodeThatStartsAmidAJamPacesSoon(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first bool // one came up well before
+		on    []ServerID
+		paced bool
+	}{
+		{"two servers fail", false, []ServerID{"a", "b"}, true},
+		{"one fails often", false, []ServerID{"a", "a", "a", "a"}, false},
+		{"one has come up", true, []ServerID{"a", "b"}, false},
+	} {
+		b, _ := crowded(t, testSettings(), 0)
+		b.now = time.Second
+		if c.first {
+			b.Handle(b.now, Arrival{ID: "well", Key: "k", Left: time.Second})
+			b.Handle(b.now, Opened{ID: "well", Server: "a", Took: 10 * ms})
+		}
+		for _, id := range c.on {
+			b.now += ms
+			b.shared(&request{}, &attempt{to: b.servers[id], at: b.now}, b.set.Classes[0].SetupAim, true)
+		}
+		if paced := b.gap > 0; paced != c.paced {
+			t.Errorf("%s: paced %v, want %v", c.name, paced, c.paced)
+		}
+	}
+}
--- a/brain/table.go
+++ b/brain/table.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// minEntries is the least table size. The design wants at least 1024; four times that keeps shares even when
-// servers are added later, as the table is sized once.
+// minEntries is the least table size, four times the design's: shares stay even as servers are added later.
 const minEntries = 4096
 
 // build lays a fresh table. Servers take entries in turn, as often as their listed weight says, each the next
