--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -129,9 +129,9 @@
 		select {
 		case <-stop.Done():
 			log.Info("told to stop", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
-			both.end()
 			by := lastMoment(cfg.Settings.Settings)
 			n.End(by.Add(-early)) // clients may wait for longer than the node lasts
+			both.end()            // behind those two: it writes a file, and the time has begun
 			begin, successor := time.Now(), func() bool { return l.inherited && both.ready() }
 			if drain(n, d, cfg.Settings.Pass, begin, by, successor) {
 				l.Close() // who waits at the door is the other process's
