--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -178,7 +179,10 @@
 	known   string
 	manage  string // the operators' address
 	env     []string
-	inherit *os.File // the clients' listening socket, as descriptor 3
+	program string // "" for the one under the race detector
+	// memoryMB is the node's memory limit, 0 for 256 MB.
+	memoryMB int
+	inherit  *os.File // the clients' listening socket, as descriptor 3
 }
 
 const settingsText = `{"index":0,"groupSize":1,"zone":0,"zones":["a"],"registryMode":"ask",
@@ -200,8 +204,8 @@
 		o.slack = 16
 	}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",`+
-		`"limits":{"cores":1.0,"memory_mb":256,"sockets":%d},"known":%s,"settings":%s}`,
-		addr, discovery, o.sockets, o.known, fmt.Sprintf(settingsText, o.aim, o.mode, o.slack))
+		`"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
+		addr, discovery, cmp.Or(o.memoryMB, 256), o.sockets, o.known, fmt.Sprintf(settingsText, o.aim, o.mode, o.slack))
 	if o.manage != "" {
 		text = strings.Replace(text, `{`, fmt.Sprintf(`{"management":%q,`, o.manage), 1)
 	}
@@ -233,7 +237,7 @@
 func launchWith(t testing.TB, path string, o options, more ...string) *running {
 	t.Helper()
 	files := o.files
-	cmd := exec.Command(program, append([]string{"node"}, more...)...)
+	cmd := exec.Command(cmp.Or(o.program, program), append([]string{"node"}, more...)...)
 	if files > 0 {
 		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", files, program))
 	}
