A list of 3,200 hosts is taken in 64 MB: the table no longer grows with the square

Cause: tableSize was s*floor(s/2) entries for s servers, 8 million at 3,200, so that Footprint refused over 1,024 hosts in 64 MB. Each drain and fill also made lists of all servers anew: 350 MB for a list that replaces half of 3,200. Change: past 65,536 entries a server has 32 or more; up to 362 servers the table is as it was. Lists by state use their memory again; hosts at which no client stands are not sorted each second. Two tests of the bound keep their form with the new figures (7,850 hosts in 64 MB).

--- a/brain/size_bench_test.go
+++ b/brain/size_bench_test.go
@@ -7,7 +7,7 @@
 )
 
 // sizes are the fleets that a node is to bear, by hosts.
-var sizes = []int{10, 100, 350, 1024, 2000, 2600}
+var sizes = []int{10, 100, 350, 1024, 2000, 3200}
 
 // The cost of one list that drains half of a fleet and starts as many hosts, as in a release that goes wrong, and of
 // the sweep in which the drains end. While a node works at it, it answers nobody.
--- a/brain/state.go
+++ b/brain/state.go
@@ -123,10 +123,15 @@
 	first, second []*server
 	holders       []*server // servers that are not inactive, by id
 	changing      bool      // some of them drain or fill
+	byState       [4][]*server
 }
 
-// tableSize is how many entries each hop has for so many servers.
-func tableSize(servers int) int { return 1 << bits.Len(uint(max(servers*(servers/2), minEntries)-1)) }
+// tableSize is how many entries each hop has for so many servers: a power of two of at least servers*floor(servers/2) and
+// minEntries. That grows with the square: past largeTable entries a server has minShare entries or more instead.
+func tableSize(servers int) int {
+	entries := min(servers*(servers/2), max(largeTable, minShare*servers))
+	return 1 << bits.Len(uint(max(entries, minEntries)-1))
+}
 
 // Footprint reckons the memory in bytes that a list of so many servers takes: both hops, the entries that each server
 // knows as its own, at worst twice, and what is remembered of each.
@@ -138,13 +143,16 @@
 	return time.Duration(b.rng.Float64() * float64(span))
 }
 
-// in lists the holders in a state, by id.
-func (t *table) in(state nodeState) (out []*server) {
+// in lists the holders in a state, by id; valid until it is called for that state again. The memory is used again: a list
+// that replaces half of a large fleet asks thousands of times.
+func (t *table) in(state nodeState) []*server {
+	out := t.byState[state][:0]
 	for _, s := range t.holders {
 		if s.state == state {
 			out = append(out, s)
 		}
 	}
+	t.byState[state] = out
 	return out
 }
 
--- a/brain/table.go
+++ b/brain/table.go
@@ -9,6 +9,13 @@
 // minEntries is the least table size, four times the design's: shares stay even as servers are added later.
 const minEntries = 4096
 
+// In a large fleet a server's share is not s/2 entries, one for each server that it may go to in a drain, but at least
+// minShare: its load goes to that many others. With the square of the servers, 3,200 took 200 MB.
+const (
+	largeTable = 1 << 16
+	minShare   = 32
+)
+
 // build lays a fresh table. Servers take entries in turn, as often as their listed weight says, each the next
 // free one in an order of its own, hashed from its id: shares are even to an entry, two nodes that start from
 // lists that differ by a few servers agree on nearly all else, and the cost is that of the entries alone, not
@@ -58,18 +65,29 @@
 		}
 	}
 	x.state, x.changedAt, t.changing = draining, now, true
-	to := slices.DeleteFunc(t.in(active), func(s *server) bool { return !spread && s.parity == x.parity })
-	for _, more := range [][]*server{t.in(active), t.in(filling), {nil}} {
-		if len(to) == 0 {
-			to = more
-		}
-	}
+	to := t.receivers(x, spread)
 	for next, i := range x.places(t.first) {
 		t.give(i, to[next%len(to)])
 	}
 	x.entries, x.at = 0, nil
 }
 
+// receivers are the servers that take over the entries of x: the active ones of the other parity group, or all of them;
+// where none is active those that fill, and nil where there is no server.
+func (t *table) receivers(x *server, all bool) []*server {
+	to := slices.DeleteFunc(t.in(active), func(s *server) bool { return !all && s.parity == x.parity })
+	if len(to) == 0 {
+		to = t.in(active)
+	}
+	if len(to) == 0 {
+		to = t.in(filling)
+	}
+	if len(to) == 0 {
+		to = []*server{nil}
+	}
+	return to
+}
+
 // drained takes x out: it holds no entries, and with settle its second-hop entries copy the first hop.
 func (t *table) drained(x *server) {
 	x.state = inactive
--- a/cmd/onyxstream/main_test.go
+++ b/cmd/onyxstream/main_test.go
@@ -493,7 +493,7 @@
 		{`"discovery":"127.0.0.1:2"`, `"discovery":""`, `"discovery"`},
 		{`"members":[]`, `"members":[{"size":1}]`, `"known"`},
 		{`"memory_mb":256,"sockets":256},"known":` + list(0, true), `"memory_mb":8,"sockets":256},"known":` + list(0, true, many(1100, "127.0.0.1:1")...),
-			`"known": members: 1100 hosts, 362 are the most in 8 MB`},
+			`"known": members: 1100 hosts, 597 are the most in 8 MB`},
 		{`"coldShare":0.3`, `"coldShare":3`, `"settings.rules.coldShare"`},
 		{`"semantics":"safe"`, `"semantics":"odd"`, `"settings.lanes[0].semantics"`},
 		{`{"name"`, `{{"name"`, "configuration"},
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -178,9 +178,11 @@
 // is piled up. Elsewhere the middle one of the second's messages counts: one that met a hiccup of this
 // machine is no news of the host.
 func (n *Node) measure(now time.Time) {
-	ids := make([]brain.ServerID, 0, len(n.members))
-	for id := range n.members {
-		ids = append(ids, id)
+	var ids []brain.ServerID // of hosts at which clients stand: of a large fleet they are few
+	for id, m := range n.members {
+		if m.some != "" {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
@@ -188,7 +190,6 @@
 		all := m.took
 		m.took = m.took[:0]
 		switch {
-		case m.some == "":
 		case n.pings():
 			if m.rest = !m.rest && !m.slow; m.rest {
 				continue
--- a/internal/node/sizes_test.go
+++ b/internal/node/sizes_test.go
@@ -17,29 +17,29 @@
 	return out
 }
 
-// A list of 1,024 hosts is taken in the memory that the platform gives, one that is too large is not, and what that says
+// A list of 3,200 hosts is taken in the memory that the platform gives, one that is too large is not, and what that says
 // of hosts that are held binds all the same.
 func TestAListTooLargeForTheMemoryIsNotTaken(t *testing.T) {
 	n, _, logs := held(t)
 	n.Bound(64)
-	n.list(&wire.Catalog{Revision: 1, Complete: true, Members: hosts(1024, wire.Serving)}, brain.ListFull, false)
-	if len(n.members) != 1024 || logs.Len() != 0 {
+	n.list(&wire.Catalog{Revision: 1, Complete: true, Members: hosts(3200, wire.Serving)}, brain.ListFull, false)
+	if len(n.members) != 3200 || logs.Len() != 0 {
 		t.Fatalf("%d hosts are held; %v", len(n.members), logs.All())
 	}
-	large := append([]wire.Member{entry("s00000", wire.Draining)}, hosts(4000, wire.Serving)[2:]...) // s00001 is gone
+	large := append([]wire.Member{entry("s00000", wire.Draining)}, hosts(8000, wire.Serving)[2:]...) // s00001 is gone
 	n.list(&wire.Catalog{Revision: 2, Complete: true, Members: large}, brain.ListFull, false)
-	if len(n.members) != 1024 || n.members["s00000"].state != brain.Draining || n.members["s00001"].state != brain.Gone ||
+	if len(n.members) != 3200 || n.members["s00000"].state != brain.Draining || n.members["s00001"].state != brain.Gone ||
 		n.members["s00002"].state != brain.Live {
 		t.Errorf("%d hosts; the first are %+v", len(n.members), []brain.ServerState{n.members["s00000"].state,
 			n.members["s00001"].state, n.members["s00002"].state})
 	}
 	lines := logs.FilterMessage("a list is too large: no new host of it is taken").All()
-	if len(lines) != 1 || lines[0].ContextMap()["error"] != "members: 3999 hosts, 1024 are the most in 64 MB" {
+	if len(lines) != 1 || lines[0].ContextMap()["error"] != "members: 7999 hosts, 7850 are the most in 64 MB" {
 		t.Errorf("logged %v", lines)
 	}
 	// Changes add up to too many as well.
-	n.list(&wire.Catalog{Revision: 3, Members: slices.Concat(hosts(2, wire.Draining), hosts(1100, wire.Serving)[1024:])}, brain.ListChange, false)
-	if n.members["s01050"] != nil {
+	n.list(&wire.Catalog{Revision: 3, Members: slices.Concat(hosts(2, wire.Draining), hosts(8000, wire.Serving)[3200:])}, brain.ListChange, false)
+	if n.members["s03250"] != nil {
 		t.Error("a change brought too many hosts")
 	}
 }
