Breaks by any error, requests unread at a shed, and leavers behind early lines are handled

Cause: (1) timedOut asked the error itself, and the system's ETIMEDOUT says it is a timeout: upward and relay took a broken connection for a wake-up and read it again; isReset knew ECONNRESET and EPIPE only, so other breaks were passed on as FIN. (2) shed looked at whether bytes had been read and farewell then read and dropped what lay unread: a request with no answer. Between a read and the word of it the same could happen. (3) upward does not read a mid-flow client whose early lines fill the buffer, so attempts went on for one that had left. Change: deadlines are told by their own errors, all else but FIN is a break; a first line is read and known as read in one step, and shed looks for unread bytes in the same way; a client that is not read is asked about every 20 ms by poll, and given up past 32 KiB unread.

--- a/internal/driver/closing.go
+++ b/internal/driver/closing.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -71,24 +72,28 @@
 	if err != nil {
 		return 0, err
 	}
-	if over := raw.Control(func(fd uintptr) {
-		for {
-			if n, err = unix.Read(int(fd), into); err != unix.EINTR {
-				return
-			}
-		}
-	}); over != nil {
+	if over := raw.Control(func(fd uintptr) { n, err = readNow(fd, into) }); over != nil {
 		return 0, over
 	}
-	switch {
-	case err == unix.EAGAIN:
-		return 0, nil
-	case err != nil:
-		return 0, err
-	case n == 0:
-		return 0, io.EOF
+	return n, err
+}
+
+// readNow is one read that waits for nothing: n is 0 without an error where nothing has come.
+func readNow(fd uintptr, into []byte) (n int, err error) {
+	for {
+		n, err = unix.Read(int(fd), into)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return 0, nil
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0:
+			return 0, io.EOF
+		}
+		return n, nil
 	}
-	return n, nil
 }
 
 // stopReading ends upward, so that the client's last bytes are read by linger alone.
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -49,6 +49,7 @@
 	host     *net.TCPConn       // set when up
 	aborted  bool
 	bowed    bool     // the driver ends: no attempt comes up any more
+	unheard  bool     // it is closed for another one: its first line is read no more
 	over     bool     // nothing more is read of the client for its host
 	parking  *parking // it is brought to rest, nil while it is not
 	unrest   int      // how often it could not be handed to another process
@@ -280,7 +281,7 @@
 // where the node ends. False when there is nothing more to do.
 func (c *conn) hear(in *wire.Inbox, late *bool) bool {
 	c.met.Store(true)
-	n, err := c.client.Read(in.Space())
+	n, err := c.readFirst(in.Space())
 	over := n == 0 && timedOut(err)
 	if over && !*late {
 		*late = true
@@ -289,7 +290,7 @@
 	switch in.Fed(n); {
 	case n > 0:
 		c.rests.Store(false)
-		c.begun.Store(true)
+		c.begun.Store(true) // where it was read late
 		return true
 	case over && c.bows() && len(in.Rest()) > 0:
 		c.finish(c.d.comeAgain())
@@ -299,6 +300,43 @@
 	return false
 }
 
+// readFirst waits for more of the first line. A read and the word that something was read are one step under mu: whoever
+// closes the connection meanwhile, see stopHearing, either finds the bytes itself or knows of them.
+func (c *conn) readFirst(into []byte) (n int, err error) {
+	raw, err := c.client.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	waited := raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.unheard {
+			n, err = 0, net.ErrClosed
+			return true
+		}
+		n, err = readNow(fd, into)
+		if n > 0 {
+			c.begun.Store(true)
+		}
+		return n > 0 || err != nil
+	})
+	if waited != nil {
+		return 0, waited
+	}
+	return n, err
+}
+
+// stopHearing ends the reading of the first line, and reports whether any of it has come by now.
+func (c *conn) stopHearing() (begun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unheard = true
+	buf := wire.GetBuffer()
+	defer buf.Free()
+	n, _ := arrived(c.client, buf[:])
+	return n > 0 || c.begun.Load()
+}
+
 // hearUntil sets until when the first line may come; it is over at once where the node ends.
 func (c *conn) hearUntil(t time.Time) {
 	c.mu.Lock()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -6,11 +6,11 @@
 	"container/list"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -189,14 +189,14 @@
 	return first
 }
 
-// shed closes a client that holds one descriptor. One that has begun its line may have ended it by now, and is refused:
-// a close alone would lose what it asks for. mu is held, and the write waits for nobody: nothing was written before.
+// shed closes a client that holds one descriptor. One that has begun its line is refused: a close alone would lose what
+// it asks for. mu is held, and the write waits for nobody: nothing was written before.
 func (d *Driver) shed(c *conn) {
-	d.log.Info("a client is closed to make room for another one")
 	line := ""
-	if c.begun.Load() && !c.bid {
+	if !c.bid && c.stopHearing() {
 		line = d.comeAgain()
 	}
+	d.log.Info("a client is closed to make room for another one", zap.Bool("refused", line != ""), zap.Bool("answered", c.bid))
 	d.release(c)
 	farewell(c.client, line)
 }
@@ -357,14 +357,15 @@
 	_ = c.Close()
 }
 
+// timedOut reports whether a deadline of this node's own has passed. The system's ETIMEDOUT, a broken connection, calls
+// itself a timeout too: who took it for one read a dead connection again and again.
 func timedOut(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
 }
 
-// isReset tells a connection that the other side broke from one that it ended.
+// isReset tells a connection that broke, by whatever error of the system, from one that the other side ended.
 func isReset(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !timedOut(err)
 }
 
 var past = time.Unix(1, 0)
--- a/internal/driver/leaving.go
+++ b/internal/driver/leaving.go
@@ -4,8 +4,11 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"onyxstream/internal/wire"
 )
 
@@ -48,9 +51,7 @@
 				return
 			}
 			if early && len(in.Space()) == 0 { // no room: it is read on once it is up
-				select {
-				case <-c.up:
-				case <-c.ended:
+				if !c.awaitUp() {
 					return
 				}
 				continue
@@ -71,6 +72,74 @@
 	}
 }
 
+// lookEvery is how often a client that is not read is looked at: no attempt may begin a tenth of a second after it left.
+const lookEvery = 20 * time.Millisecond
+
+// awaitUp waits until a connection is up whose client's early lines leave no room to read more. It is not read meanwhile,
+// so the system is asked whether it has left; one that goes on to send far more than lines is given up. False where there
+// is nothing more to read.
+func (c *conn) awaitUp() bool {
+	ticks := time.NewTicker(lookEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-c.up:
+			return true
+		case <-c.ended:
+			return false
+		case <-ticks.C:
+			if err := hungUp(c.client); err != nil {
+				c.left(err)
+				return false
+			}
+			if pending(c.client) > maxEarly && c.misspoke() {
+				return false
+			}
+		}
+	}
+}
+
+// maxEarly bounds what may lie unread of a client that is not up, beside what is buffered. An end behind more than the
+// system's own buffer holds could not be seen.
+const maxEarly = 32 << 10
+
+// hungUp tells how the other side has ended its sending, behind whatever lies unread: io.EOF, or a break. It is nil where
+// it has not, or the system does not tell.
+func hungUp(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	var events int16
+	_ = raw.Control(func(fd uintptr) {
+		ask := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if n, err := unix.Poll(ask, 0); err == nil && n > 0 {
+			events = ask[0].Revents
+		}
+	})
+	switch {
+	case events&(unix.POLLERR|unix.POLLHUP) != 0:
+		return syscall.ECONNRESET
+	case events&unix.POLLRDHUP != 0:
+		return io.EOF
+	}
+	return nil
+}
+
+// pending is how many bytes lie unread, 0 where the system does not tell.
+func pending(c *net.TCPConn) (n int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err != nil {
+			n = 0
+		}
+	})
+	return n
+}
+
 // misspoke gives up a client that does not wait for its answer; false where it has come up just now.
 func (c *conn) misspoke() bool {
 	c.mu.Lock()
