Failing tests: starts listed after a step of the clock, a drain's grace under a hold-up

Found by going through terms and paths. The node's clock is the wall clock of its start moved on by the monotonic one, and listed starts are compared with it as they are: after a step back by an hour a host that has just started passes for warm, which breaks its slow start; after one forward it is cold for an hour. And sendable leaves 20 ms, where a node may be held up for 0.15 s between its clock and the write. Change: the conversion stands in a type of its own, as it is today.

--- /dev/null
+++ b/internal/node/wallclock_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// A host that has just started is known as that after the machine's clock was stepped, and one that started before the
+// step is taken for no older than it is.
+func TestWallClock_Stepped_StartsAreSpansOfRealTime(t *testing.T) {
+	const begin, age = 1000 * time.Hour, 2 * time.Second
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour, 3 * time.Second, -3 * time.Second} {
+		var c wallClock
+		c.observe(begin, begin)
+		now := begin + time.Minute
+		c.observe(now+step, now)
+		fresh := (now + step - age).Milliseconds()
+		if got := now - c.started(fresh, now); got != age {
+			t.Errorf("step %v: a start %v ago, by the clock as it is, passes for %v", step, age, got)
+		}
+		before := (now - age).Milliseconds()
+		if got := now - c.started(before, now); got < 0 || got > age {
+			t.Errorf("step %v: a start %v ago, by the clock before, passes for %v", step, age, got)
+		}
+		if c.started(0, now) != 0 {
+			t.Errorf("step %v: long ago is not kept", step)
+		}
+	}
+}
+
+// A start that lies ahead of the clock is one of now: nobody starts later than told.
+func TestWallClock_StartAhead_IsNow(t *testing.T) {
+	var c wallClock
+	c.observe(time.Hour, time.Hour)
+	if got := c.started((2 * time.Hour).Milliseconds(), time.Hour); got != time.Hour {
+		t.Errorf("a start an hour ahead passes for %v", got)
+	}
+}
+
+// A node that is held up for 0.15 s between its last look and the write keeps to the grace of a drain.
+func TestSendable_HeldUpBeforeTheWrite_KeepsTheGrace(t *testing.T) {
+	const heldUp = 150 * time.Millisecond
+	n, _, _ := held(t, entry("a", wire.Serving))
+	m := n.members["a"]
+	m.state = brain.Draining
+	for _, grace := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second} {
+		n.set.DrainGrace = grace
+		m.toldAt = time.Now().Add(heldUp - grace) // a write after the hold-up comes just past the grace
+		if n.sendable(m) {
+			t.Errorf("a grace of %v: a line may go %v before its end", grace, heldUp)
+		}
+	}
+	n.set.DrainGrace = 2 * time.Second
+	m.toldAt = time.Now()
+	if !n.sendable(m) {
+		t.Error("nothing may go within a long grace")
+	}
+}
