Starts of hosts are spans of real time; a drain's grace covers a hold-up of 0.15 s

Cause: Node.list compared up_since_ms, read by the wall clock, with the wall clock of the node's start moved on by the monotonic one. sendable and late kept 20 ms of the grace, the module a tenth (40 ms of 400), where 0.15 s may pass between the clock and the write. A host called back and a guessed start are kept by the node's clock. brain.MaxHoldUp: drains end 150 ms before the grace in the module and 170 ms in the node; a fill's time is as it was.

--- a/brain/api.go
+++ b/brain/api.go
@@ -17,6 +17,9 @@
 // that is lost just then; one that was refused at once leaves more, and many nodes need it so as not to come together.
 const AskAgain = 2500 * time.Millisecond
 
+// MaxHoldUp is how long a node may be held up between reading its clock and writing. The grace of a drain covers it.
+const MaxHoldUp = 150 * time.Millisecond
+
 // Effect says how safely a request of a class may be repeated.
 type Effect uint8
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 		b.askNotBy = now + b.jitter(min(b.apart(b.set.AskWithin/20), AskAgain*8/5))
 		b.emit(Wake{now + sweepEvery, sweepToken})
 	}
-	b.table.progress(now, b.set.DrainGrace*9/10, len(b.reqs) == 0) // the rest is for the way out of the node
+	b.table.progress(now, b.drainGrace(), b.set.DrainGrace*9/10, len(b.reqs) == 0)
 	switch e := ev.(type) {
 	case ListEvent:
 		b.listed(e)
@@ -82,6 +82,12 @@
 	return b.out
 }
 
+// drainGrace is for how long a server that drains is still sent what stands there. The rest of the grace is for the way out
+// of the node, and for a hold-up on it.
+func (b *Brain) drainGrace() time.Duration {
+	return max(min(b.set.DrainGrace*9/10, b.set.DrainGrace-MaxHoldUp), 0)
+}
+
 // arrive takes a request in and places it at once, or notes where it stands already.
 func (b *Brain) arrive(e Arrival, on *server) {
 	if b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
--- a/brain/table.go
+++ b/brain/table.go
@@ -141,18 +141,18 @@
 // fillCount is ceil((floor(entries/nodes)/3)*2).
 func fillCount(entries, nodes int) int { return (entries/max(nodes, 1)*2 + 2) / 3 }
 
-// progress ends drains and fills whose grace has passed, and fills sooner where no connection is left here.
-func (t *table) progress(now, grace time.Duration, idle bool) {
+// progress ends drains and fills whose times have passed, and fills sooner where no connection is left here.
+func (t *table) progress(now, drain, fill time.Duration, idle bool) {
 	if !t.changing {
 		return
 	}
 	holders := slices.Clone(t.holders)
 	t.changing = false
 	for _, s := range holders {
-		switch over := now >= s.changedAt+grace; {
-		case s.state == draining && over:
+		switch age := now - s.changedAt; {
+		case s.state == draining && age >= drain:
 			t.drained(s)
-		case s.state == filling && (over || idle):
+		case s.state == filling && (age >= fill || idle):
 			s.state = active
 		default:
 			t.changing = t.changing || s.state != active
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -14,7 +14,8 @@
 type member struct {
 	id     brain.ServerID
 	addr   string
-	since  int64 // its last start, as listed
+	since  int64         // its last start, as listed
+	start  time.Duration // the same by the node's clock, as reckoned when it was told; 0 for long ago
 	state  brain.ServerState
 	toldAt time.Time   // when it was told to drain or be gone
 	listed wire.Member // as the list has it
@@ -32,11 +33,12 @@
 }
 
 const (
-	// A dial may come up just before the grace ends; between the loop's word and the first byte lies the
-	// connection's own turn on a busy core.
-	graceMargin = 20 * time.Millisecond
-	// repeatMargin is the same at the end of the time in which repeats are dropped.
-	repeatMargin = graceMargin
+	// turnMargin is for the connection's own turn on a busy core, between the loop's word and the first byte.
+	turnMargin = 20 * time.Millisecond
+	// graceMargin is what must be left of a grace: the whole process may be held up in between as well.
+	graceMargin = brain.MaxHoldUp + turnMargin
+	// repeatMargin is the same at the end of the time in which repeats are dropped, which allows for hold-ups.
+	repeatMargin = turnMargin
 	// forgetAfter is how long a member that is gone keeps its address, for attempts under way.
 	forgetAfter = time.Minute
 )
@@ -48,6 +50,7 @@
 // list takes in news of the hosts and tells the module; behind says that a later call to discovery was made.
 func (n *Node) list(c *wire.Catalog, kind brain.ListKind, behind bool) {
 	now := time.Now()
+	n.observeClock(now)
 	c = n.bounded(c)
 	ev := brain.ListEvent{Kind: kind, Version: c.Revision, Behind: behind, Servers: make([]brain.Server, 0, len(c.Members))}
 	named := make(map[brain.ServerID]bool, len(c.Members))
@@ -61,11 +64,12 @@
 		}
 		if m.addr = e.Addr; m.since != e.UpSince { // a host that has restarted is not what it was
 			m.since, m.best, m.doubt, m.pile = e.UpSince, 0, 0, 0
+			m.start = n.wall.started(e.UpSince, n.at(now))
 		}
 		m.listed, m.out = e, e.Phase == wire.Deleted
 		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
-			Since: time.Duration(max(e.UpSince, n.backs[id], n.guessed)) * time.Millisecond, Guess: n.guessed > 0, Shun: n.shunned(id)}
+			Since: max(m.start, n.backs[id], n.guessed), Guess: n.guessed > 0, Shun: n.shunned(id)}
 		if z, ok := n.zones[e.Zone]; ok {
 			s.Zone = z
 		}
@@ -127,6 +131,7 @@
 // second, the time that messages take at each host.
 func (n *Node) pulse(now time.Time) {
 	n.tick++
+	n.observeClock(now)
 	n.tally() // what the module avoids changes with time
 	if n.start != nil {
 		n.ask()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	call      uint64 // the last question to it
 	revision  int64  // as of its list there, Whole where that knows none of ours
 
+	wall     wallClock     // by which starts of hosts are listed
 	memoryMB int           // that the process may take, 0 for no bound on the list
 	slowFrom time.Duration // the time of a message from which on the module is told, 0 for never
 	timers   timers
@@ -100,7 +101,7 @@
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
-		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]int64{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
+		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]time.Duration{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
@@ -129,6 +130,13 @@
 	return time.Duration(n.base.UnixNano()) + t.Sub(n.base)
 }
 
+// observeClock looks whether the machine's clock was stepped. Nothing but the listed starts of hosts hangs on it.
+func (n *Node) observeClock(now time.Time) {
+	if n.wall.observe(time.Duration(now.UnixNano()), n.at(now)) {
+		n.log.Warn("the machine's clock was stepped", zap.Duration("from the node's own clock", n.wall.offsets[0]))
+	}
+}
+
 // Run is the loop. It ends with the context.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -23,7 +23,7 @@
 	shutAt  time.Time   // from when on it takes nothing new; zero while it does not drain
 	words   map[brain.ServerID]bool
 
-	backs map[brain.ServerID]int64 // when hosts were called back, Unix time in milliseconds
+	backs map[brain.ServerID]time.Duration // when hosts were called back, by the node's clock
 
 	// What holds now, for whoever asks without waiting for the loop.
 	targets, avoided atomic.Int64
@@ -176,13 +176,15 @@
 
 // called notes that a host was called back; what is long past is forgotten.
 func (n *Node) called(id brain.ServerID, at time.Time) {
+	now := time.Now()
+	n.observeClock(now)
 	for other, back := range n.backs {
-		if at.Sub(time.UnixMilli(back)) > n.set.WarmWithin {
+		if n.at(now)-back > n.set.WarmWithin {
 			delete(n.backs, other)
 		}
 	}
-	if len(n.backs) < mostWords {
-		n.backs[id] = max(n.backs[id], at.UnixMilli())
+	if len(n.backs) < mostWords { // the word may be one that another process has written down
+		n.backs[id] = max(n.backs[id], n.wall.started(at.UnixMilli(), n.at(now)))
 	}
 }
 
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -25,9 +25,9 @@
 	// doubt says that a drain is kept which a list that was passed on has lifted: the service is asked for the whole list,
 	// as what has changed since that list's number would not tell of it.
 	doubt bool
-	// guessed is when hosts pass for started, Unix time in milliseconds, while the list is one that nobody has confirmed
+	// guessed is when hosts pass for started, by the node's clock, while the list is one that nobody has confirmed
 	// since this node's start: it can't tell which were started with it, and all are, after a power cut. 0 for not.
-	guessed int64
+	guessed time.Duration
 	// dead are hosts that could not be connected to while the list is such: a dial of one node spares the others theirs.
 	dead    map[string]time.Time
 	holding atomic.Pointer[Holding]
@@ -68,7 +68,7 @@
 	n.start = s
 	n.service.Store(&service)
 	if n.start.State(n.now()).Part == coldstart.Old {
-		n.guessed = n.base.UnixMilli()
+		n.guessed = n.at(n.base)
 		n.list(n.whole(), brain.ListCached, false)
 	}
 	n.publish(n.whole())
