--- a/internal/handover/document.go
+++ b/internal/handover/document.go
@@ -41,6 +41,23 @@
 	Serial uint64        `json:"serial"`
 }
 
+// Spans tells how long it is until what stands is to be gone, and until nothing new is taken; below 0 for past.
+func (d Drain) Spans(now Instant) (by, shut time.Duration) {
+	return d.By.Sub(now.Wall), d.Shut.Sub(now.Wall)
+}
+
+// Drain is one that begins now.
+func (i Instant) Drain(by, shut time.Duration) Drain {
+	return Drain{On: true, By: i.Wall.Add(by), Shut: i.Wall.Add(shut)}
+}
+
+// Instant is a reading of the machine's clocks: the wall clock, which may be stepped, and the time since the machine
+// started, which all of its processes share.
+type Instant struct {
+	Wall time.Time
+	Boot time.Duration
+}
+
 const (
 	// mostWords bounds the hosts in a document; more are refused.
 	mostWords = 1024
--- /dev/null
+++ b/internal/lifecycle/folder_test.go
@@ -0,0 +1,89 @@
+package lifecycle
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"onyxstream/internal/handover"
+)
+
+// blockWrites has the writes of the shared document fail, as on a full disk, until it is called off.
+func blockWrites(t *testing.T) (unblock func()) {
+	t.Helper()
+	locks, err := filepath.Glob(filepath.Join(os.Getenv("TMPDIR"), "*.lock"))
+	if err != nil || len(locks) != 1 {
+		t.Fatalf("%v, %v", locks, err)
+	}
+	at := locks[0][:len(locks[0])-len(".lock")] + ".words.new" // where a document is written before it takes its place
+	if err := os.MkdirAll(filepath.Join(at, "full"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		if err := os.RemoveAll(at); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for begin := time.Now(); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// An order that was taken on while the folder could not be written is written as soon as it can be: the next process of
+// the node holds to it too.
+func TestOrder_FolderFails_IsWrittenOnceItCanBe(t *testing.T) {
+	o, n := stuck(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.Run(ctx) }()
+	unblock := blockWrites(t)
+	if err := o.HostOut("h1"); err != nil {
+		t.Fatal(err)
+	}
+	go o.shared.follow(ctx)
+	time.Sleep(3 * lookAt)
+	unblock()
+	eventually(t, "the order is written", func() bool {
+		d, _, err := o.shared.store.Load()
+		return err == nil && len(d.Words) == 1 && d.Words[0].Out
+	})
+}
+
+// After a write that failed, the orders of other processes are taken in: the number that the failed change would have had
+// is that of another one.
+func TestOrder_FolderFails_OthersOrdersAreTaken(t *testing.T) {
+	o, n := stuck(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.Run(ctx) }()
+	unblock := blockWrites(t)
+	if err := o.HostBack("h1"); err != nil {
+		t.Fatal(err)
+	}
+	unblock()
+	other := handover.Document{Node: "n1"}
+	if err := other.Say("h1", true, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	text, err := other.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	locks, _ := filepath.Glob(filepath.Join(os.Getenv("TMPDIR"), "*.lock"))
+	if err := os.WriteFile(locks[0][:len(locks[0])-len(".lock")]+".words", text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o.shared.look()
+	eventually(t, "the other's order holds", func() bool {
+		_, avoided := n.Targets()
+		return avoided == 1
+	})
+}
--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -237,8 +237,8 @@
 	switch l := d.Drain; {
 	case l.Serial <= after:
 	case l.On:
-		order(control.Command{Kind: control.Drain, Within: max(time.Until(l.By), 0), Open: max(time.Until(l.Shut), 0), After: l.After,
-			Keep: l.Keep})
+		by, shut := l.Spans(handover.Instant{Wall: time.Now()})
+		order(control.Command{Kind: control.Drain, Within: max(by, 0), Open: max(shut, 0), After: l.After, Keep: l.Keep})
 	case s.node.Leaving():
 		order(control.Command{Kind: control.Resume})
 	}
