Orders that could not be shared are written later; a shared drain is a span of real time

Cause: shared.tell set its number of seen changes inside the change, before the file was written: after a failed write that number was another process's next change, which was passed over; the order itself was forgotten. A folder that could not be opened at the start was never tried again. A drain stood in the document as wall times. Change: internal/lifecycle/unwritten.go keeps such orders, one a target, until the folder can be written, unless another process ordered later; the folder is opened again until it can be. A drain is also written as the time since the machine started.

--- a/internal/handover/document.go
+++ b/internal/handover/document.go
@@ -39,23 +39,33 @@
 	After  time.Duration `json:"retry_after_ns"`
 	Keep   bool          `json:"keep"`
 	Serial uint64        `json:"serial"`
+	// The same two times since the machine started: they go before By and Shut, which a step of the clock moves.
+	ByBoot   time.Duration `json:"by_boot_ns,omitempty"`
+	ShutBoot time.Duration `json:"shut_boot_ns,omitempty"`
 }
 
 // Spans tells how long it is until what stands is to be gone, and until nothing new is taken; below 0 for past.
 func (d Drain) Spans(now Instant) (by, shut time.Duration) {
+	if d.ByBoot > 0 && now.Boot > 0 {
+		return d.ByBoot - now.Boot, d.ShutBoot - now.Boot
+	}
 	return d.By.Sub(now.Wall), d.Shut.Sub(now.Wall)
 }
 
 // Drain is one that begins now.
 func (i Instant) Drain(by, shut time.Duration) Drain {
-	return Drain{On: true, By: i.Wall.Add(by), Shut: i.Wall.Add(shut)}
+	d := Drain{On: true, By: i.Wall.Add(by), Shut: i.Wall.Add(shut)}
+	if i.Boot > 0 {
+		d.ByBoot, d.ShutBoot = i.Boot+by, i.Boot+shut
+	}
+	return d
 }
 
 // Instant is a reading of the machine's clocks: the wall clock, which may be stepped, and the time since the machine
 // started, which all of its processes share.
 type Instant struct {
 	Wall time.Time
-	Boot time.Duration
+	Boot time.Duration // 0 where the system does not tell
 }
 
 const (
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 )
 
 // Store keeps the document in a folder that the processes of a node share, and marks that this process is there. All
@@ -88,6 +89,16 @@
 	}
 }
 
+// Now reads the machine's clocks.
+func Now() Instant {
+	now := Instant{Wall: time.Now()}
+	var boot unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) == nil {
+		now.Boot = time.Duration(boot.Nano())
+	}
+	return now
+}
+
 // Load reads the document as it is now; fresh is false where it is as this process last knew it. What is damaged, or is
 // none of this node's, is an error, once for each state of the file, and nothing of it is believed.
 func (s *Store) Load() (d Document, fresh bool, err error) {
--- a/internal/lifecycle/folder_test.go
+++ b/internal/lifecycle/folder_test.go
@@ -52,7 +52,7 @@
 	time.Sleep(3 * lookAt)
 	unblock()
 	eventually(t, "the order is written", func() bool {
-		d, _, err := o.shared.store.Load()
+		d, _, err := o.shared.store().Load()
 		return err == nil && len(d.Words) == 1 && d.Words[0].Out
 	})
 }
--- a/internal/lifecycle/operated_test.go
+++ b/internal/lifecycle/operated_test.go
@@ -46,7 +46,7 @@
 	if err := o.HostOut("h1"); !errors.Is(err, node.ErrBusy) {
 		t.Errorf("an order: %v", err)
 	}
-	if d, _, err := o.shared.store.Load(); err != nil || len(d.Words) > 0 {
+	if d, _, err := o.shared.store().Load(); err != nil || len(d.Words) > 0 {
 		t.Errorf("others are told %+v, %v", d, err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -58,7 +58,7 @@
 	if err := o.HostBack("h2"); !errors.Is(err, node.ErrUnknown) {
 		t.Errorf("an id that nobody has: %v", err)
 	}
-	if d, _, err := o.shared.store.Load(); err != nil || len(d.Words) != 1 || !d.Words[0].Out {
+	if d, _, err := o.shared.store().Load(); err != nil || len(d.Words) != 1 || !d.Words[0].Out {
 		t.Errorf("others are told %+v, %v", d, err)
 	}
 }
--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -26,12 +26,14 @@
 	node   *node.Node
 	driver *driver.Driver
 	log    *zap.Logger
-	store  *handover.Store // nil where nothing can be shared
 	orders *control.Server
+	folder string                         // "" where nothing is shared
+	opened atomic.Pointer[handover.Store] // nil while the folder can't be used
 
 	mu     sync.Mutex  // an order and what others were told are taken in one after the other
 	seen   uint64      // the document's changes that are in force here
 	failed bool        // the folder could not be used
+	owed   unwritten   // orders that hold here and are to be written yet
 	alone  atomic.Bool // no other process was there when last looked
 	ends   atomic.Bool // this process was told to stop: it takes nothing over any more
 }
@@ -48,19 +50,29 @@
 		log.Warn("TMPDIR is not set: words of operators end with this process")
 		return s
 	}
-	store, err := handover.Open(dir, cfg.Name)
-	if err != nil {
-		log.Error("TMPDIR can't be used: words of operators end with this process", zap.Error(err))
-		return s
-	}
-	s.store = store
+	s.folder = dir
+	s.open()
 	return s
 }
 
+// store is what is shared; nil where nothing can be, or not yet.
+func (s *shared) store() *handover.Store { return s.opened.Load() }
+
+// open opens the folder, which may fail for a while: it is tried again until it can be used.
+func (s *shared) open() {
+	if s.folder == "" || s.store() != nil {
+		return
+	}
+	store, err := handover.Open(s.folder, s.cfg.Name)
+	if s.note(err); err == nil {
+		s.opened.Store(store)
+	}
+}
+
 // begin takes in what the processes before were told.
 func (s *shared) begin(orders *control.Server) {
 	s.orders = orders
-	if s.store != nil {
+	if s.store() != nil {
 		s.look()
 		s.share()
 	}
@@ -70,20 +82,20 @@
 // connections to each other, until one of them was gone with what it had just taken.
 func (s *shared) end() {
 	s.ends.Store(true)
-	if s.store != nil {
+	if s.store() != nil {
 		s.share()
 	}
 }
 
 func (s *shared) close() {
-	if s.store != nil {
-		s.store.Close()
+	if store := s.store(); store != nil {
+		store.Close()
 	}
 }
 
 // follow takes in what another process is told, and keeps both within the limits, until the context ends.
 func (s *shared) follow(ctx context.Context) {
-	if s.store == nil {
+	if s.folder == "" {
 		return
 	}
 	ticks := time.NewTicker(lookAt)
@@ -93,7 +105,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C:
+		}
+		if s.open(); s.store() != nil {
 			s.look()
+			s.writeOwed()
 			s.share()
 		}
 	}
@@ -101,10 +116,11 @@
 
 // ready reports whether another process of this node is there to serve.
 func (s *shared) ready() bool {
-	if s.store == nil {
+	store := s.store()
+	if store == nil {
 		return false
 	}
-	others, err := s.store.Others()
+	others, err := store.Others()
 	s.note(err)
 	for _, o := range others {
 		if o.Ready {
@@ -116,8 +132,9 @@
 
 // share tells the others what this process holds and whether it takes over, and leaves them what they hold.
 func (s *shared) share() {
-	s.note(s.store.Tell(handover.Mark{Ready: !s.ends.Load(), Descriptors: s.driver.Holds()}))
-	others, err := s.store.Others()
+	store := s.store()
+	s.note(store.Tell(handover.Mark{Ready: !s.ends.Load(), Descriptors: s.driver.Holds()}))
+	others, err := store.Others()
 	if s.note(err); err != nil {
 		return // as it was
 	}
@@ -159,44 +176,68 @@
 	if out {
 		c.Kind = control.HostDrain
 	}
-	return s.tell(c, func(d *handover.Document) error { return d.Say(id, out, now) })
+	return s.tell(c, id, func(d *handover.Document) error { return d.Say(id, out, now) })
 }
 
 // leave drains the node or ends that, here and in the other processes.
 func (s *shared) leave(c control.Command) error {
-	now := time.Now()
-	return s.tell(c, func(d *handover.Document) error {
-		d.Leave(handover.Drain{On: c.Kind == control.Drain, By: now.Add(c.Within), Shut: now.Add(c.Open), After: c.After, Keep: c.Keep})
+	drain := handover.Drain{}
+	if c.Kind == control.Drain {
+		drain = handover.Now().Drain(c.Within, c.Open)
+		drain.After, drain.Keep = c.After, c.Keep
+	}
+	return s.tell(c, nodeOrder, func(d *handover.Document) error {
+		d.Leave(drain)
 		return nil
 	})
 }
 
-// tell carries an order out and puts it into the document, as one step of an order that is the same for all processes:
-// what others were told before is taken in first. An order that does not hold here is told to no one; one that can't be
-// told holds here.
-func (s *shared) tell(c control.Command, change func(*handover.Document) error) error {
+// tell carries an order on a target out and puts it into the document, as one step of an order that is the same for all
+// processes: what others were told before is taken in first. An order that does not hold here is told to no one; one that
+// can't be written holds here, and is written once it can be.
+func (s *shared) tell(c control.Command, target string, change func(*handover.Document) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	store := s.store()
+	if store == nil {
+		return s.tellLater(c, unwrittenOrder{target, s.seen, change})
+	}
 	var refused error
+	var serial uint64
 	given := false
-	if s.store != nil {
-		err := s.store.Update(func(d *handover.Document) error {
-			s.take(*d)
-			given = true
-			if refused = s.orders.Order(c); refused != nil {
-				return refused
-			}
-			err := change(d)
-			s.seen = d.Serial
-			return err
-		})
-		if refused != nil {
+	err := store.Update(func(d *handover.Document) error {
+		s.take(*d)
+		given = true
+		if refused = s.orders.Order(c); refused != nil {
 			return refused
 		}
-		s.noted(err)
+		err := change(d)
+		serial = d.Serial
+		return err
+	})
+	if refused != nil {
+		return refused
+	}
+	s.noted(err)
+	switch {
+	case err == nil:
+		s.seen = serial
+		s.owed.drop(target)
+	case given:
+		s.owed.add(unwrittenOrder{target, s.seen, change})
+	default:
+		return s.tellLater(c, unwrittenOrder{target, s.seen, change})
+	}
+	return nil
+}
+
+// tellLater carries an order out while the folder can't be used; mu is held.
+func (s *shared) tellLater(c control.Command, o unwrittenOrder) error {
+	if err := s.orders.Order(c); err != nil {
+		return err
 	}
-	if !given {
-		return s.orders.Order(c)
+	if s.folder != "" {
+		s.owed.add(o)
 	}
 	return nil
 }
@@ -205,7 +246,7 @@
 func (s *shared) look() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, fresh, err := s.store.Load()
+	d, fresh, err := s.store().Load()
 	if err != nil {
 		s.noted(err)
 	}
@@ -237,7 +278,7 @@
 	switch l := d.Drain; {
 	case l.Serial <= after:
 	case l.On:
-		by, shut := l.Spans(handover.Instant{Wall: time.Now()})
+		by, shut := l.Spans(handover.Now())
 		order(control.Command{Kind: control.Drain, Within: max(by, 0), Open: max(shut, 0), After: l.After, Keep: l.Keep})
 	case s.node.Leaving():
 		order(control.Command{Kind: control.Resume})
--- a/internal/lifecycle/takeover.go
+++ b/internal/lifecycle/takeover.go
@@ -30,7 +30,7 @@
 			time.Sleep(poll) // what is being brought up goes over once it stands
 			continue
 		}
-		taken, err := s.store.Give(offers(standing), facts)
+		taken, err := s.store().Give(offers(standing), facts)
 		if err != nil {
 			s.log.Warn("connections are not taken over", zap.Error(err))
 		}
@@ -63,15 +63,15 @@
 
 // adopt takes up what other processes offer, until this one is told to stop.
 func (s *shared) adopt(ctx context.Context) {
-	if s.store == nil {
+	if s.folder == "" {
 		return
 	}
 	failed := false
 	for ctx.Err() == nil {
 		wait := lookAt
-		if !s.alone.Load() && !s.ends.Load() {
+		if store := s.store(); store != nil && !s.alone.Load() && !s.ends.Load() {
 			wait = offerAt
-			all, facts, err := s.store.Take()
+			all, facts, err := store.Take()
 			if err != nil && !failed {
 				s.log.Warn("connections of another process can't be taken over", zap.Error(err))
 			}
--- /dev/null
+++ b/internal/lifecycle/unwritten.go
@@ -0,0 +1,78 @@
+package lifecycle
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/handover"
+)
+
+// nodeOrder is the key of orders on the node itself; hosts have names.
+const nodeOrder = ""
+
+// unwrittenOrder is an order that holds in this process and could not be written for the others yet: the folder may be
+// full for a while, and what was taken on is still owed.
+type unwrittenOrder struct {
+	target string // a host, or nodeOrder
+	after  uint64 // the document's changes that were known when it was given: a later one on the target goes before it
+	change func(*handover.Document) error
+}
+
+// unwritten are such orders, one for each target: a later one takes the place of an earlier one. What is refused for
+// want of room in the document never comes here, so they are bounded like the document's own.
+type unwritten []unwrittenOrder
+
+func (u *unwritten) add(o unwrittenOrder) {
+	u.drop(o.target)
+	*u = append(*u, o)
+}
+
+func (u *unwritten) drop(target string) {
+	*u = slices.DeleteFunc(*u, func(o unwrittenOrder) bool { return o.target == target })
+}
+
+// write puts the orders into a document, but for those whose target has had a later one from another process, and those
+// for which it has no room: they hold here, as where they are given.
+func (u unwritten) write(d *handover.Document) {
+	for _, o := range u {
+		if latest(d, o.target) <= o.after {
+			_ = o.change(d)
+		}
+	}
+}
+
+// latest is the document's last change on a target, 0 for none.
+func latest(d *handover.Document, target string) uint64 {
+	if target == nodeOrder {
+		return d.Drain.Serial
+	}
+	for _, w := range d.Words {
+		if w.Host == target {
+			return w.Serial
+		}
+	}
+	return 0
+}
+
+// writeOwed writes what could not be written before.
+func (s *shared) writeOwed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store := s.store()
+	if store == nil || len(s.owed) == 0 {
+		return
+	}
+	var serial uint64
+	err := store.Update(func(d *handover.Document) error {
+		s.take(*d)
+		s.owed.write(d)
+		serial = d.Serial
+		return nil
+	})
+	if s.noted(err); err != nil {
+		return
+	}
+	s.log.Info("orders that could not be shared before are shared now", zap.Int("orders", len(s.owed)))
+	s.seen, s.owed = serial, nil
+}
