Invariants: one guard before each write, checks behind it that count broken rules

Cause: whether a line may go was one expression in takeRequest, what was done was never looked at, and no log said why a request was refused, failed or withdrawn at the last look. The module says why it gives a request up (brain.Reason); counted, in the status, and a debug line by the request's id. Measured: a test for each reason and each rule; brain, node, driver, control, agent, lifecycle, simwire, fleet, cli pass.

--- a/brain/api.go
+++ b/brain/api.go
@@ -224,6 +224,19 @@
 // ProvesUnrun reports whether the outcome proves that the attempt never ran.
 func (o Outcome) ProvesUnrun() bool { return o == Full || o == NoConnect || o == NeverPassed }
 
+// Reason is why a request was given up, for logs and figures.
+type Reason string
+
+// The reasons.
+const (
+	ReasonDraining  Reason = "the node drains"
+	ReasonPaced     Reason = "its turn among paced set-ups comes too late"
+	ReasonSlowStart Reason = "the node has just started and its first set-ups are not up"
+	ReasonNoTime    Reason = "no time is left"
+	ReasonAttempts  Reason = "all attempts are used"
+	ReasonNoServer  Reason = "no server may take it"
+)
+
 // Action is one thing the node is to do. Actions are carried out in order.
 type Action interface{ action() }
 
@@ -239,9 +252,13 @@
 	Refuse struct {
 		ID         RequestID
 		RetryAfter time.Duration // 0 for no advice
+		Why        Reason
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID  RequestID
+		Why Reason
+	}
 	// Cancel withdraws an attempt.
 	Cancel struct {
 		ID      RequestID
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -114,7 +114,7 @@
 	}
 	aim := b.set.Classes[r.Class].SetupAim
 	if s == nil {
-		b.giveUp(r, aim)
+		b.giveUp(r, aim, b.unplaced(r, left))
 		return
 	}
 	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, one given up
@@ -136,6 +136,17 @@
 	b.emit(Send{r.ID, s.id, left})
 }
 
+// unplaced says why a request was sent nowhere.
+func (b *Brain) unplaced(r *request, left time.Duration) Reason {
+	switch {
+	case left <= 0:
+		return ReasonNoTime
+	case b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts:
+		return ReasonAttempts
+	}
+	return ReasonNoServer
+}
+
 // value is what a request is worth for the load it brings, against the class that is worth most; a tenant
 // over its share of open connections, judged by this node's part of them, counts for little.
 func (b *Brain) value(r *request) float64 {
@@ -307,16 +318,16 @@
 }
 
 // giveUp answers at once: refused where that is known to be harmless, else failed.
-func (b *Brain) giveUp(r *request, wait time.Duration) {
+func (b *Brain) giveUp(r *request, wait time.Duration, why Reason) {
 	c := &b.set.Classes[r.Class]
 	harmless := true
 	for i := range r.attempts {
 		harmless = harmless && (r.attempts[i].safe || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll)
 	}
 	if harmless {
-		b.emit(Refuse{r.ID, min(wait, b.set.MaxRetryAfter)})
+		b.emit(Refuse{r.ID, min(wait, b.set.MaxRetryAfter), why})
 	} else {
-		b.emit(Fail{r.ID})
+		b.emit(Fail{r.ID, why})
 	}
 	b.end(r)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -125,7 +125,15 @@
 	Revision  int64        `json:"revision"` // of the list of hosts
 	List      *ListStatus  `json:"list,omitempty"`
 	Hosts     []HostStatus `json:"hosts,omitempty"`
-	Serial    uint64       `json:"serial"` // counts changes, for those who follow them
+	Broken    uint64       `json:"broken_rules,omitempty"` // how often a check found a rule broken, see package invariant
+	GivenUp   []GivenUp    `json:"given_up,omitempty"`     // requests that were refused or failed
+	Serial    uint64       `json:"serial"`                 // counts changes, for those who follow them
+}
+
+// GivenUp counts requests that were refused or failed for one reason.
+type GivenUp struct {
+	Why      string `json:"why"`
+	Requests int    `json:"requests"`
 }
 
 // mostScopes bounds the hosts that words are held for, and mostAnswers the operations that are known again.
--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"onyxstream/brain"
@@ -70,11 +69,16 @@
 	return brain.Reset
 }
 
+// permit is what an attempt is held to by its connection.
+type permit struct {
+	connect time.Duration         // the dial's limit, 0 for none
+	may     func() error          // asked between connect and write, since a send counts from its first byte
+	wrote   func(began time.Time) // told of a line that was written to its end, and when its first byte went
+}
+
 // attempt makes one attempt: one dial, one line, one answer. On success the host's connection is up,
 // upLine is what the host gave and in holds what came behind it. On failure the connection is closed.
-// whole counts the lines that were written to their end; may is asked between connect and write, since a send counts from its first byte.
-func attempt(ctx context.Context, a node.Attempt, o *wire.Opening, connect time.Duration, whole *atomic.Uint64, may func() error,
-	in *wire.Inbox) (host *net.TCPConn, upLine []byte, failed *AttemptError) {
+func attempt(ctx context.Context, a node.Attempt, o *wire.Opening, p permit, in *wire.Inbox) (host *net.TCPConn, upLine []byte, failed *AttemptError) {
 	by := time.Now().Add(a.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
@@ -87,13 +91,13 @@
 		}
 		return nil, nil, &AttemptError{s, err}
 	}
-	dialer := net.Dialer{Timeout: connect, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: p.connect, KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp", a.Addr)
 	if err != nil {
 		return fail(Dialing, err)
 	}
 	host = c.(*net.TCPConn)
-	if err := may(); err != nil {
+	if err := p.may(); err != nil {
 		return fail(Asking, err)
 	}
 	// The last look before the first byte: it may have been withdrawn while the loop said that it may go.
@@ -102,11 +106,12 @@
 	}
 	// Setting the deadline wakes whatever read or write is under way.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
-	line := o.Forward(time.Until(by))
+	began := time.Now()
+	line := o.Forward(by.Sub(began))
 	if n, err := host.Write(line); n < len(line) {
 		return fail(Writing, err)
 	}
-	whole.Add(1)
+	p.wrote(began)
 	for {
 		line, ok, err := in.Next()
 		if err != nil {
--- a/internal/driver/attempt_test.go
+++ b/internal/driver/attempt_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,6 +72,11 @@
 
 func may() error { return nil }
 
+// permitted holds an attempt to a dial's limit and to may alone.
+func permitted(connect time.Duration, may func() error) permit {
+	return permit{connect, may, func(time.Time) {}}
+}
+
 func TestAttemptOutcomesByStage(t *testing.T) {
 	long := strings.Repeat("x", wire.BufferSize)
 	for _, c := range []struct {
@@ -102,7 +106,7 @@
 			var in wire.Inbox
 			defer in.Free()
 			conn, _, failed := attempt(context.Background(), node.Attempt{Addr: c.addr, Timeout: 200 * time.Millisecond},
-				opening(t, hello), time.Second, new(atomic.Uint64), may, &in)
+				opening(t, hello), permitted(time.Second, may), &in)
 			if failed == nil {
 				_ = conn.Close()
 				t.Fatal("no error")
@@ -124,7 +128,7 @@
 	})
 	var in wire.Inbox
 	defer in.Free()
-	conn, up, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: 5 * time.Second}, opening(t, hello), time.Second, new(atomic.Uint64), may, &in)
+	conn, up, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: 5 * time.Second}, opening(t, hello), permitted(time.Second, may), &in)
 	if failed != nil {
 		t.Fatal(failed)
 	}
@@ -150,8 +154,7 @@
 		got <- n
 	})
 	var in wire.Inbox
-	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: time.Second}, opening(t, hello), time.Second, new(atomic.Uint64),
-		func() error { return errTooLate }, &in)
+	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: time.Second}, opening(t, hello), permitted(time.Second, func() error { return errTooLate }), &in)
 	if failed == nil || failed.Stage != Asking || failed.Outcome() != brain.NeverPassed || !errors.Is(failed, errTooLate) {
 		t.Errorf("ended with %v", failed)
 	}
@@ -171,7 +174,7 @@
 	})
 	var in wire.Inbox
 	defer in.Free()
-	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), time.Second, new(atomic.Uint64), may, &in)
+	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), permitted(time.Second, may), &in)
 	if failed == nil || failed.Outcome() != brain.Cancelled {
 		t.Errorf("ended with %v", failed)
 	}
@@ -181,7 +184,7 @@
 func TestAttemptWithoutTimeNeverRan(t *testing.T) {
 	addr := answering(t, "UP r\r\n")
 	var in wire.Inbox
-	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: -time.Second}, opening(t, hello), time.Second, new(atomic.Uint64), may, &in)
+	_, _, failed := attempt(context.Background(), node.Attempt{Addr: addr, Timeout: -time.Second}, opening(t, hello), permitted(time.Second, may), &in)
 	if failed == nil || !failed.Outcome().ProvesUnrun() {
 		t.Errorf("ended with %v", failed)
 	}
--- /dev/null
+++ b/internal/driver/checks_test.go
@@ -0,0 +1,45 @@
+package driver
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/invariant"
+)
+
+// Each end of a request that breaks a rule is counted, and no other is.
+func TestCheckEnd_OnConnections(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		end  func(c *conn)
+		want map[invariant.Rule]uint64
+	}{
+		{"answered once", func(c *conn) { c.count(refused) }, nil},
+		{"its client left", func(c *conn) { c.leave() }, nil},
+		{"stood before the run", func(c *conn) { c.open.At = "h0" }, nil},
+		{"never answered", func(*conn) {}, map[invariant.Rule]uint64{invariant.NotAnswered: 1}},
+		{"cut off by this node", func(c *conn) { c.aborted = true; c.leave() }, map[invariant.Rule]uint64{invariant.NotAnswered: 1}},
+		{"answered twice", func(c *conn) { c.count(refused); c.count(failed) }, map[invariant.Rule]uint64{invariant.AnsweredTwice: 1}},
+		{"answered late", func(c *conn) { c.noteAnswer(now.Add(2 * time.Second)) }, map[invariant.Rule]uint64{invariant.AnsweredLate: 1}},
+		{"sent on for a leaver", func(c *conn) {
+			c.leave()
+			c.checkStart("h0", c.leftAt.Add(time.Second))
+		}, map[invariant.Rule]uint64{invariant.BegunForLeaver: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, zap.NewNop(), false)
+			_, server := pair(t)
+			k := r.d.newConn(server, now)
+			c.end(k)
+			k.checkEnd(now.Add(time.Second))
+			for _, rule := range invariant.Rules() {
+				if got := r.n.Monitor().Count(rule); got != c.want[rule] {
+					t.Errorf("%q is counted %d times, want %d", rule, got, c.want[rule])
+				}
+			}
+		})
+	}
+}
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -67,6 +67,8 @@
 	on      string        // the host of the attempt, or where it stands
 	load    float64       // by its last report; the relay's own
 	counted atomic.Bool   // its final answer is among the figures
+	answers answers       // that the client was given; mu guards it
+	leftAt  time.Time     // when it was seen to have left before it was up; mu guards it
 
 	moving   atomic.Bool
 	half     atomic.Bool // the client ended its side before it was up
@@ -184,6 +186,7 @@
 	}
 	until := time.Now().Add(c.open.Wait - waited(c.client))
 	c.id = brain.RequestID(c.open.ID)
+	defer c.checkEnd(until)
 	switch within, still := c.d.admit(c); {
 	case !still:
 		c.count(failed)
--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,11 +71,10 @@
 	defer withdraw()
 	var in wire.Inbox
 	defer in.Free()
-	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), time.Second, new(atomic.Uint64),
-		func() error {
-			withdraw() // the client leaves between the loop's word and the line
-			return nil
-		}, &in)
+	_, _, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: time.Minute}, opening(t, hello), permitted(time.Second, func() error {
+		withdraw() // the client leaves between the loop's word and the line
+		return nil
+	}), &in)
 	if failed == nil || !failed.Outcome().ProvesUnrun() {
 		t.Errorf("%v; want an outcome that proves that it never ran", failed)
 	}
--- a/internal/driver/figures.go
+++ b/internal/driver/figures.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"onyxstream/internal/wire"
 )
@@ -58,6 +59,7 @@
 
 // count counts a client's final answer, the first one alone. One that has left by then is not counted: nobody saw it.
 func (c *conn) count(v verdict) {
+	c.noteAnswer(time.Now())
 	r := c.d.figures.replies[c.open.Class]
 	if r == nil || c.counted.Swap(true) {
 		return
--- a/internal/driver/leaving.go
+++ b/internal/driver/leaving.go
@@ -158,6 +158,7 @@
 		return
 	}
 	close(c.gone)
+	c.leftAt = time.Now()
 	if c.withdraw != nil {
 		c.withdraw()
 	}
--- a/internal/driver/request.go
+++ b/internal/driver/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -83,6 +84,8 @@
 		case cmd := <-c.cmds:
 			if cmd.send == nil {
 				final, said = true, true
+				c.d.log.Debug("a request is answered", zap.String("request", c.open.ID), zap.String("answer", strings.TrimSpace(cmd.reply)),
+					zap.Int("attempts", taken), zap.Duration("left", time.Until(until)))
 				c.countAs(cmd.reply)
 				c.finish(cmd.reply)
 				return
@@ -156,7 +159,7 @@
 	}
 	late := time.NewTimer(a.Timeout) // a loop that does not answer must not hold the client past its time
 	defer late.Stop()
-	return attempt(ctx, a, &c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error {
+	may := func() error {
 		c.d.node.Connected(c.id, c, a.N)
 		select {
 		case ok := <-c.verdict:
@@ -169,7 +172,12 @@
 		case <-late.C:
 			return errTooLate
 		}
-	}, in)
+	}
+	wrote := func(began time.Time) {
+		c.checkStart(string(a.Host), began)
+		c.d.node.Written(c.id, c, a.N, began)
+	}
+	return attempt(ctx, a, &c.open, permit{c.d.cfg.ConnectTimeout, may, wrote}, in)
 }
 
 // raise marks the connection as up; false where the client has left or the node ends.
--- a/internal/driver/resume.go
+++ b/internal/driver/resume.go
@@ -36,7 +36,7 @@
 		start := time.Now()
 		ctx, over := c.begin(0, c.open.At)
 		host, upLine, failed := attempt(ctx, node.Attempt{Addr: addr, Timeout: max(c.open.Wait, c.d.cfg.Patience)},
-			&c.open, c.d.cfg.ConnectTimeout, &c.d.figures.dispatches, func() error { return nil }, &in)
+			&c.open, permit{c.d.cfg.ConnectTimeout, func() error { return nil }, func(began time.Time) { c.checkStart(c.open.At, began) }}, &in)
 		over()
 		if failed == nil {
 			if !c.raise(host) {
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,125 @@
+// Package invariant holds the rules that a node keeps as checks on what it did: on a line that was written to a host, and
+// on the end of a client's connection. The guards that keep the rules stand before the deed, in node and driver; the checks
+// here look at the deed itself, by the rules' own limits, and know nothing of the guards. A Monitor counts what they find.
+// The checks are pure: times are arguments.
+package invariant
+
+import (
+	"fmt"
+	"time"
+
+	"onyxstream/brain"
+)
+
+// Rule names what was broken.
+type Rule uint8
+
+// The rules.
+const (
+	SentToDrained    Rule = iota // a line began after the grace of its host's drain
+	RepeatedUnsafely             // an attempt was written though an earlier one may have run and repeats are not dropped
+	SecondCopy                   // an attempt was written while an earlier one of the request was out
+	BegunForLeaver               // a line began too long after its client had left
+	NotAnswered                  // a request was read, and its connection ended without a final answer
+	AnsweredTwice                // a request had a second final answer
+	AnsweredLate                 // a final answer came too long after the client's time
+	rules
+)
+
+var names = [rules]string{"sent to drained", "repeated unsafely", "second copy", "begun for leaver", "not answered",
+	"answered twice", "answered late"}
+
+func (r Rule) String() string { return names[r] }
+
+// Rules lists all of them.
+func Rules() []Rule {
+	all := make([]Rule, rules)
+	for i := range all {
+		all[i] = Rule(i)
+	}
+	return all
+}
+
+const (
+	// leftFor is how long after its client has left a line may still begin.
+	leftFor = 100 * time.Millisecond
+	// lateFor is how long after the client's time an answer still counts as given.
+	lateFor = 500 * time.Millisecond
+)
+
+// Violation is a rule that was broken.
+type Violation struct {
+	Rule    Rule
+	Request string
+	Host    string
+	By      time.Duration // past the rule's limit, where it has one
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: request %s, host %s, by %v", v.Rule, v.Request, v.Host, v.By)
+}
+
+// Send is a line that was written to a host, as it was when its first byte went.
+type Send struct {
+	Request, Host string
+	At            time.Time
+	Draining      bool // the host drains, or is gone
+	ToldAt        time.Time
+	Grace         time.Duration
+	Effect        brain.Effect
+	Window        time.Duration
+	MayHaveRun    time.Time // when the first attempt was sent that may have run; zero for none
+	OthersOut     int       // further attempts of the request that were out
+}
+
+// CheckSend finds what a written line breaks.
+func CheckSend(s Send) (broken []Violation) {
+	found := func(rule Rule, by time.Duration) {
+		broken = append(broken, Violation{rule, s.Request, s.Host, by})
+	}
+	if age := s.At.Sub(s.ToldAt); s.Draining && age > s.Grace {
+		found(SentToDrained, age-s.Grace)
+	}
+	if s.OthersOut > 0 {
+		found(SecondCopy, 0)
+	}
+	if s.MayHaveRun.IsZero() {
+		return broken
+	}
+	switch age := s.At.Sub(s.MayHaveRun); {
+	case s.Effect == brain.Unsafe:
+		found(RepeatedUnsafely, 0)
+	case s.Effect == brain.Keyed && age > s.Window:
+		found(RepeatedUnsafely, age-s.Window)
+	}
+	return broken
+}
+
+// CheckStart finds whether a line began for a client that had left; left is zero where it has not.
+func CheckStart(request, host string, began, left time.Time) (Violation, bool) {
+	by := began.Sub(left) - leftFor
+	return Violation{BegunForLeaver, request, host, by}, !left.IsZero() && by > 0
+}
+
+// Ending is a client's connection that has ended, or one that has had its final answer.
+type Ending struct {
+	Request, Host string
+	Answers       int       // final answers that were given
+	AnsweredAt    time.Time // the first of them
+	Until         time.Time // the client's time
+	Left          bool      // the client left before it was answered
+}
+
+// CheckEnd finds what the end of a client's connection breaks.
+func CheckEnd(e Ending) (broken []Violation) {
+	switch {
+	case e.Answers == 0 && !e.Left:
+		broken = append(broken, Violation{NotAnswered, e.Request, e.Host, 0})
+	case e.Answers > 1:
+		broken = append(broken, Violation{AnsweredTwice, e.Request, e.Host, 0})
+	}
+	if late := e.AnsweredAt.Sub(e.Until) - lateFor; e.Answers > 0 && late > 0 {
+		broken = append(broken, Violation{AnsweredLate, e.Request, e.Host, late})
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,116 @@
+package invariant
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"onyxstream/brain"
+)
+
+var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return begin.Add(d) }
+
+// rulesOf are the rules of violations, in order.
+func rulesOf(found []Violation) (out []Rule) {
+	for _, v := range found {
+		out = append(out, v.Rule)
+	}
+	return out
+}
+
+func same(a, b []Rule) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestCheckSend_EachRule(t *testing.T) {
+	const grace, window = 400 * time.Millisecond, 5 * time.Second
+	for _, c := range []struct {
+		name string
+		send Send
+		want []Rule
+	}{
+		{"a first line", Send{At: begin}, nil},
+		{"within the grace", Send{At: after(grace), Draining: true, ToldAt: begin, Grace: grace}, nil},
+		{"past the grace", Send{At: after(grace + 1), Draining: true, ToldAt: begin, Grace: grace}, []Rule{SentToDrained}},
+		{"a host that stays", Send{At: after(time.Hour), ToldAt: begin, Grace: grace}, nil},
+		{"a safe repeat", Send{At: after(time.Hour), MayHaveRun: begin}, nil},
+		{"an unsafe repeat", Send{At: begin, Effect: brain.Unsafe, MayHaveRun: begin}, []Rule{RepeatedUnsafely}},
+		{"an unsafe one again that never ran", Send{At: begin, Effect: brain.Unsafe}, nil},
+		{"within the window", Send{At: after(window), Effect: brain.Keyed, Window: window, MayHaveRun: begin}, nil},
+		{"past the window", Send{At: after(window + 1), Effect: brain.Keyed, Window: window, MayHaveRun: begin}, []Rule{RepeatedUnsafely}},
+		{"beside another", Send{At: begin, OthersOut: 1}, []Rule{SecondCopy}},
+		{"all at once", Send{At: after(time.Hour), Draining: true, ToldAt: begin, OthersOut: 1, Effect: brain.Unsafe, MayHaveRun: begin},
+			[]Rule{SentToDrained, SecondCopy, RepeatedUnsafely}},
+	} {
+		if got := rulesOf(CheckSend(c.send)); !same(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestCheckStart_ClientLeft(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		began, left time.Time
+		want        bool
+	}{
+		{"it is there", begin, time.Time{}, false},
+		{"it leaves later", begin, after(time.Second), false},
+		{"it has just left", after(100 * time.Millisecond), begin, false},
+		{"it left before", after(101 * time.Millisecond), begin, true},
+	} {
+		if _, got := CheckStart("r", "h", c.began, c.left); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+func TestCheckEnd_EachRule(t *testing.T) {
+	until := after(time.Second)
+	for _, c := range []struct {
+		name string
+		end  Ending
+		want []Rule
+	}{
+		{"answered", Ending{Answers: 1, AnsweredAt: until, Until: until}, nil},
+		{"within the slack", Ending{Answers: 1, AnsweredAt: after(1500 * time.Millisecond), Until: until}, nil},
+		{"late", Ending{Answers: 1, AnsweredAt: after(1501 * time.Millisecond), Until: until}, []Rule{AnsweredLate}},
+		{"never", Ending{Until: until}, []Rule{NotAnswered}},
+		{"nobody is there", Ending{Until: until, Left: true}, nil},
+		{"twice", Ending{Answers: 2, AnsweredAt: begin, Until: until}, []Rule{AnsweredTwice}},
+	} {
+		if got := rulesOf(CheckEnd(c.end)); !same(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestMonitor_CountsAndLogsEach(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	m := NewMonitor(zap.New(core))
+	m.Report()
+	m.Report(Violation{Rule: NotAnswered, Request: "r"}, Violation{Rule: NotAnswered}, Violation{Rule: SecondCopy})
+	if m.Count(NotAnswered) != 2 || m.Count(SecondCopy) != 1 || m.Count(AnsweredLate) != 0 || m.Total() != 3 {
+		t.Errorf("counted %d, %d, %d of %d", m.Count(NotAnswered), m.Count(SecondCopy), m.Count(AnsweredLate), m.Total())
+	}
+	if lines := logs.FilterMessage(LogMessage).All(); len(lines) != 3 || lines[0].ContextMap()["request"] != "r" {
+		t.Errorf("logged %v", lines)
+	}
+	for _, r := range Rules() {
+		if r.String() == "" {
+			t.Errorf("rule %d has no name", r)
+		}
+	}
+}
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -125,7 +127,7 @@
 func (c *controlled) Status() control.Status {
 	v := c.node.View()
 	s := control.Status{Name: c.name, State: control.Serving, Owed: c.node.Owed(), Open: c.node.Open(), Up: time.Since(c.began).Seconds(),
-		Revision: v.Revision}
+		Revision: v.Revision, Broken: c.node.Monitor().Total(), GivenUp: givenUp(v)}
 	switch {
 	case c.stop.Err() != nil:
 		s.State = control.Stopping
@@ -145,6 +147,14 @@
 	return s
 }
 
+// givenUp lists the reasons in the order of their names: a status that has not changed is to look the same.
+func givenUp(v node.View) (out []control.GivenUp) {
+	for _, why := range slices.Sorted(maps.Keys(v.GivenUp)) {
+		out = append(out, control.GivenUp{Why: string(why), Requests: v.GivenUp[why]})
+	}
+	return out
+}
+
 // Holding is the list that the node passes on; nil for none.
 func (c *controlled) Holding() *control.Holding {
 	h := c.node.Holding()
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -139,7 +139,7 @@
 			} else if l.empty() {
 				drain(n, d, cfg.Settings.Pass, begin, by, successor) // who waited at the door until now
 			}
-			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()))
+			log.Info("stopped", zap.Int64("owed", n.Owed()), zap.Int64("open", n.Open()), zap.Uint64("rules broken", n.Monitor().Total()))
 		case <-ctx.Done():
 		}
 		l.Close()
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -15,6 +15,7 @@
 	evArrive kind = iota
 	evInherit
 	evConnected
+	evWritten
 	evOpened
 	evSettled
 	evLoad
@@ -47,6 +48,7 @@
 	port    Port
 	opening *wire.Opening
 	until   time.Time
+	at      time.Time
 	list    *wire.Catalog
 	call    uint64
 	reply   chan place
--- /dev/null
+++ b/internal/node/guard.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/invariant"
+)
+
+// One guard stands before whatever is written to a host: mayWrite, asked between connect and the first byte. What was
+// written all the same is checked behind it, by the rules' own limits, and counted.
+
+// denial is why a line may not be written; empty where it may.
+type denial string
+
+const (
+	denyOver      denial = "the attempt is over"
+	denyEnded     denial = "the node has ended"
+	denyDraining  denial = "the node drains"
+	denyHost      denial = "the host drains or is gone"
+	denyRepeat    denial = "an earlier attempt may have run"
+	denySecondOut denial = "another attempt is out"
+)
+
+// mayWrite is asked once an attempt's connection is up; r is its request.
+func (n *Node) mayWrite(r *request, attempt int) denial {
+	switch {
+	case !r.out || r.up:
+		return denyOver
+	case attempt != r.attempts-1:
+		return denySecondOut
+	case n.ended:
+		return denyEnded
+	case !r.mid && n.late():
+		return denyDraining
+	case !n.sendable(r.on):
+		return denyHost
+	case !n.repeatable(r):
+		return denyRepeat
+	}
+	return ""
+}
+
+// connected answers a connection that asks whether its line may go.
+func (n *Node) connected(e event, r *request) {
+	why := n.mayWrite(r, e.attempt)
+	if why != "" {
+		n.log.Debug("a line may not be written", zap.String("request", string(e.id)), zap.Int("attempt", e.attempt),
+			zap.String("why", string(why)))
+	}
+	r.port.Go(e.attempt, why == "")
+}
+
+// written checks a line that was written.
+func (n *Node) written(e event, r *request) {
+	if r.on == nil {
+		return
+	}
+	s := invariant.Send{Request: string(e.id), Host: string(r.on.id), At: e.at, Draining: r.on.state != brain.Live, ToldAt: r.on.toldAt,
+		Grace: n.set.DrainGrace, MayHaveRun: r.mayHave}
+	if r.class >= 0 {
+		c := n.set.Classes[r.class]
+		s.Effect, s.Window = c.Effect, c.Window
+	}
+	if r.out && e.attempt < r.attempts-1 {
+		s.OthersOut++
+	}
+	n.monitor.Report(invariant.CheckSend(s)...)
+}
+
+// gaveUp notes why a request is refused or failed.
+func (n *Node) gaveUp(id brain.RequestID, r *request, refused bool, why brain.Reason) {
+	n.givenUp[why]++
+	n.log.Debug("a request is given up", zap.String("request", string(id)), zap.Bool("refused", refused), zap.String("why", string(why)),
+		zap.Int("attempts", r.attempts))
+}
+
+// Monitor counts the rules that were broken.
+func (n *Node) Monitor() *invariant.Monitor { return n.monitor }
+
+// Written tells of a line that was written to its end; at is just before its first byte.
+func (n *Node) Written(id brain.RequestID, p Port, attempt int, at time.Time) {
+	n.post(event{kind: evWritten, id: id, port: p, attempt: attempt, at: at})
+}
--- /dev/null
+++ b/internal/node/guard_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/invariant"
+	"onyxstream/internal/wire"
+)
+
+// The guard says why a line may not be written, for each reason that there is.
+func TestMayWrite_EachReason(t *testing.T) {
+	long := time.Now().Add(-time.Hour)
+	for _, c := range []struct {
+		name   string
+		change func(n *Node, r *request)
+		want   denial
+	}{
+		{"it may", func(*Node, *request) {}, ""},
+		{"the attempt has ended", func(_ *Node, r *request) { r.out = false }, denyOver},
+		{"it is up", func(_ *Node, r *request) { r.up = true }, denyOver},
+		{"another was sent", func(_ *Node, r *request) { r.attempts++ }, denySecondOut},
+		{"the node has ended", func(n *Node, _ *request) { n.ended = true }, denyEnded},
+		{"the node drains", func(n *Node, _ *request) { n.shutAt = long }, denyDraining},
+		{"the node drains, mid-flow", func(n *Node, r *request) { n.shutAt, r.mid = long, true }, ""},
+		{"the host drains", func(_ *Node, r *request) { r.on.state, r.on.toldAt = brain.Draining, long }, denyHost},
+		{"the host has just begun to drain", func(_ *Node, r *request) { r.on.state, r.on.toldAt = brain.Draining, time.Now() }, ""},
+		{"an unsafe one that may have run", func(n *Node, r *request) {
+			n.set.Classes[0].Effect, r.mayHave = brain.Unsafe, long
+		}, denyRepeat},
+	} {
+		n, _, _ := held(t, entry("a", wire.Serving))
+		arrive(t, n, "r")
+		r := n.reqs["r"]
+		c.change(n, r)
+		if got := n.mayWrite(r, 0); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// What was written past the guard is counted by the rule that it breaks.
+func TestWritten_PastTheGuard_IsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(n *Node, r *request)
+		want   map[invariant.Rule]uint64
+	}{
+		{"a right one", func(*Node, *request) {}, nil},
+		{"to a drained host", func(n *Node, r *request) {
+			r.on.state, r.on.toldAt = brain.Gone, time.Now().Add(-n.set.DrainGrace-time.Millisecond)
+		}, map[invariant.Rule]uint64{invariant.SentToDrained: 1}},
+		{"a repeat", func(n *Node, r *request) {
+			n.set.Classes[0].Effect, r.mayHave = brain.Unsafe, time.Now()
+		}, map[invariant.Rule]uint64{invariant.RepeatedUnsafely: 1}},
+		{"beside another", func(_ *Node, r *request) { r.attempts++ }, map[invariant.Rule]uint64{invariant.SecondCopy: 1}},
+	} {
+		n, _, _ := held(t, entry("a", wire.Serving))
+		p := arrive(t, n, "r")
+		c.change(n, n.reqs["r"])
+		n.take(event{kind: evWritten, id: "r", port: p, at: time.Now()})
+		for _, rule := range invariant.Rules() {
+			if got := n.Monitor().Count(rule); got != c.want[rule] {
+				t.Errorf("%s: %q is counted %d times, want %d", c.name, rule, got, c.want[rule])
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"onyxstream/brain"
+	"onyxstream/internal/invariant"
 	"onyxstream/internal/settings"
 	"onyxstream/internal/wire"
 )
@@ -66,6 +67,7 @@
 	brain   *brain.Brain
 	outside Outside
 	log     *zap.Logger
+	monitor *invariant.Monitor
 	base    time.Time
 	events  chan event
 	done    chan struct{}
@@ -94,13 +96,14 @@
 	ending
 
 	owed, open atomic.Int64
+	givenUp    map[brain.Reason]int // requests that were refused or failed, by why; the loop's own
 }
 
 // New makes a node that knows its settings, the list as it was last held, and where to ask for it.
 func New(set settings.Settings, known wire.Catalog, discovery string, outside Outside, log *zap.Logger) *Node {
-	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, base: time.Now(), discovery: discovery,
+	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, monitor: invariant.NewMonitor(log), base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
-		reqs: map[brain.RequestID]*request{}, members: map[brain.ServerID]*member{},
+		reqs: map[brain.RequestID]*request{}, givenUp: map[brain.Reason]int{}, members: map[brain.ServerID]*member{},
 		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]time.Duration{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
@@ -187,7 +190,7 @@
 		r = nil // the request belongs to another connection, which must not feel it
 	}
 	switch e.kind {
-	case evArrive, evResume, evInherit, evConnected, evOpened, evSettled, evLoad, evGone:
+	case evArrive, evResume, evInherit, evConnected, evWritten, evOpened, evSettled, evLoad, evGone:
 		n.takeRequest(e, r)
 	case evList, evFollow, evWatchFailed, evPinged:
 		n.takeList(e)
@@ -270,12 +273,14 @@
 	case brain.Refuse:
 		if r := n.reqs[a.ID]; r != nil && !r.answered {
 			n.answer(r)
+			n.gaveUp(a.ID, r, true, a.Why)
 			r.port.Refuse(a.RetryAfter)
 			n.drop(a.ID, r)
 		}
 	case brain.Fail:
 		if r := n.reqs[a.ID]; r != nil && !r.answered {
 			n.answer(r)
+			n.gaveUp(a.ID, r, false, a.Why)
 			r.port.Fail()
 			n.drop(a.ID, r)
 		}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -114,7 +115,8 @@
 // View is how the node is.
 type View struct {
 	Revision int64
-	Hosts    []HostView // by id
+	Hosts    []HostView           // by id
+	GivenUp  map[brain.Reason]int // requests that were refused or failed, by why
 }
 
 // View asks the loop how things stand; empty once it has ended.
@@ -218,7 +220,7 @@
 }
 
 func (n *Node) view() View {
-	v := View{Revision: n.revision}
+	v := View{Revision: n.revision, GivenUp: maps.Clone(n.givenUp)}
 	open := map[brain.ServerID]int{}
 	for _, r := range n.reqs {
 		if r.up && r.out {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"onyxstream/brain"
+	"onyxstream/internal/invariant"
 	"onyxstream/internal/wire"
 )
 
@@ -40,7 +41,11 @@
 		}
 	case evConnected:
 		if r != nil {
-			r.port.Go(e.attempt, r.out && e.attempt == r.attempts-1 && !n.ended && n.sendable(r.on) && n.repeatable(r) && (r.mid || !n.late()))
+			n.connected(e, r)
+		}
+	case evWritten:
+		if r != nil {
+			n.written(e, r)
 		}
 	case evOpened:
 		if r != nil && r.out && !r.up && e.attempt == r.attempts-1 {
@@ -172,6 +177,9 @@
 			Outcome: brain.NeverPassed, Final: true})
 		return
 	}
+	if r.out {
+		n.monitor.Report(invariant.Violation{Rule: invariant.SecondCopy, Request: string(a.ID), Host: string(a.Server)})
+	}
 	m := n.members[a.Server]
 	at := r.attempts
 	r.attempts++
