--- a/internal/rig/bench_test.go
+++ b/internal/rig/bench_test.go
@@ -23,7 +23,7 @@
 		b.Fatalf("%v: %s", err, out)
 	}
 	f := Fleet{Nodes: 1, Hosts: 1, Host: Host{Cores: 64}}
-	classes, tenants := []ClassSpec{{"chat", 3 * time.Second}}, []string{"acme"}
+	classes, tenants := []ClassSpec{{Name: "chat", Deadline: 3 * time.Second}}, []string{"acme"}
 	if err := f.Check(classes, tenants); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/rig/coldstart_test.go
+++ b/internal/rig/coldstart_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	classes, tenants := []ClassSpec{{"chat", 3 * time.Second}}, []string{"acme"}
+	classes, tenants := []ClassSpec{{Name: "chat", Deadline: 3 * time.Second}}, []string{"acme"}
 	if err := f.Check(classes, tenants); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -81,8 +81,10 @@
 
 // ClassSpec is what a node's settings say of a class.
 type ClassSpec struct {
-	Name     string
-	Deadline time.Duration
+	Name      string
+	Deadline  time.Duration
+	Semantics string        // "safe", "keyed" or "unsafe", as the settings call it; "" for safe
+	Window    time.Duration // in which repeats of a keyed class are dropped; 0 for 5 s
 }
 
 // FaultSpec is one thing that goes wrong.
--- a/internal/rig/make.go
+++ b/internal/rig/make.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -18,6 +19,9 @@
 
 // The processes of a rig, their files and the links between them.
 
+// usualWindow is how long repeats of a keyed class are dropped where its spec does not say.
+const usualWindow = 5 * time.Second
+
 // settings are what the platform would tell the nodes.
 func (r *Rig) settings(i int) map[string]any {
 	f := r.fleet
@@ -25,8 +29,8 @@
 	var messageAim []float64
 	for _, c := range r.opt.Classes {
 		ms := float64(c.Deadline.Milliseconds())
-		lanes = append(lanes, map[string]any{"name": c.Name, "aim": ms / 4, "deadline": ms, "semantics": "safe", "group": "all",
-			"worth": 1, "window": 5000})
+		lanes = append(lanes, map[string]any{"name": c.Name, "aim": ms / 4, "deadline": ms, "semantics": cmp.Or(c.Semantics, "safe"),
+			"group": "all", "worth": 1, "window": cmp.Or(c.Window, usualWindow).Milliseconds()})
 		messageAim = append(messageAim, 1000)
 	}
 	for _, t := range r.opt.Tenants {
@@ -231,6 +235,9 @@
 	return nil
 }
 
+// Reload has a node read its configuration again.
+func (r *Rig) Reload(i int) { r.nodes[i].signal(syscall.SIGHUP) }
+
 // configure writes a node's configuration.
 func (r *Rig) configure(p *process, i int, known wire.Catalog) error {
 	f := r.fleet
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/internal/stand"
+)
+
+const ms = time.Millisecond
+
+// book is a ledger that a test writes.
+type book []stand.Record
+
+func (b *book) add(at time.Duration, who, what, id, note string) {
+	*b = append(*b, stand.Record{At: at, Who: who, What: what, ID: id, Key: id, Class: "order", Note: note})
+}
+
+func (b *book) asked(id string) { b.add(0, "c-n1", stand.Asked, id, "1s") }
+
+// Each way in which a request can come to a wrong end is found, and what is allowed is not.
+func TestJudge_EachRule(t *testing.T) {
+	late := time.Second + Usual.Late + Usual.Ledger + ms
+	unsafe := Facts{Unsafe: map[string]bool{"order": true}}
+	for _, c := range []struct {
+		name  string
+		facts Facts
+		write func(b *book)
+		want  string // in the one line of the verdict; "" for none
+	}{
+		{"served", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(5*ms, "h1", stand.Up, "a", "h1-1")
+			b.add(6*ms, "c-n1", stand.Heard, "a", "UP h1-1")
+			b.add(9*ms, "c-n1", stand.Heard, "a", "M a line")
+		}, ""},
+		{"refused", Facts{}, func(b *book) { b.asked("a"); b.add(ms, "c-n1", stand.Heard, "a", "BUSY 5") }, ""},
+		{"no answer", Facts{}, func(b *book) { b.asked("a"); b.add(ms, "c-n1", stand.Broken, "a", "EOF") }, "no whole answer"},
+		{"left first", Facts{}, func(b *book) { b.asked("a"); b.add(ms, "c-n1", stand.Left, "a", "") }, ""},
+		{"its node was killed", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "n1", stand.Fault, "", "kill")
+			b.add(2*ms, "c-n1", stand.Broken, "a", "reset")
+		}, ""},
+		{"another node was killed", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "n2", stand.Fault, "", "kill")
+			b.add(2*ms, "c-n1", stand.Broken, "a", "reset")
+		}, "no whole answer"},
+		{"shut in a crowd", Facts{Crowded: map[string][]Span{"n1": {{0, time.Second}}}}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "c-n1", stand.Broken, "a", "reset")
+		}, ""},
+		{"silent in a crowd", Facts{Crowded: map[string][]Span{"n1": {{0, time.Second}}}}, func(b *book) { b.asked("a") }, "no whole answer"},
+		{"late", Facts{}, func(b *book) { b.asked("a"); b.add(late, "c-n1", stand.Heard, "a", "ERR") }, "only at"},
+		{"twice", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "c-n1", stand.Heard, "a", "BUSY")
+			b.add(ms, "c-n1", stand.Heard, "a", "ERR")
+		}, "more answers than one"},
+		{"made up", Facts{}, func(b *book) { b.asked("a"); b.add(ms, "c-n1", stand.Heard, "a", "UP h1-1") }, "no host's answer"},
+		{"begun for a leaver", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "c-n1", stand.Left, "a", "")
+			b.add(time.Second, "h1", stand.Opened, "a", "")
+		}, "its client left"},
+		{"begun before it left", Facts{}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "h1", stand.Opened, "a", "")
+			b.add(2*ms, "c-n1", stand.Left, "a", "")
+		}, ""},
+		{"read late by a host that hung", Facts{Delayed: map[string]bool{"h1": true}}, func(b *book) {
+			b.asked("a")
+			b.add(ms, "c-n1", stand.Left, "a", "")
+			b.add(time.Second, "h1", stand.Opened, "a", "")
+		}, ""},
+		{"sent to a drained host", Facts{}, func(b *book) {
+			b.add(0, "h1", stand.Fault, "", "drains")
+			b.add(Usual.Told+Usual.DrainGrace+Usual.Ledger+ms, "h1", stand.Opened, "a", "")
+		}, "which drains"},
+		{"sent while not all are told", Facts{Unreachable: []Span{{time.Second, 2 * time.Second}}}, func(b *book) {
+			b.add(0, "h1", stand.Fault, "", "drains")
+			b.add(Usual.Told+Usual.DrainGrace+Usual.Ledger+ms, "h1", stand.Opened, "a", "")
+		}, ""},
+		{"repeated", unsafe, func(b *book) {
+			b.add(0, "h1", stand.Opened, "a", "")
+			b.add(time.Second, "h2", stand.Opened, "a", "")
+		}, "may have run"},
+		{"repeated as it never ran", unsafe, func(b *book) {
+			b.add(0, "h1", stand.Opened, "a", "")
+			b.add(ms, "h1", stand.Refused, "a", "full")
+			b.add(time.Second, "h2", stand.Opened, "a", "")
+		}, ""},
+		{"a safe repeat", Facts{}, func(b *book) {
+			b.add(0, "h1", stand.Opened, "a", "")
+			b.add(time.Second, "h2", stand.Opened, "a", "")
+		}, ""},
+	} {
+		var b book
+		c.write(&b)
+		got := Judge(b, Usual, c.facts).Wrong
+		if (c.want == "") != (len(got) == 0) || c.want != "" && (len(got) != 1 || !strings.Contains(got[0], c.want)) {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+func TestToldBy_DiscoveryUnreachable(t *testing.T) {
+	const within = 6 * time.Second
+	s := func(from, to time.Duration) Span { return Span{from * time.Second, to * time.Second} }
+	for _, c := range []struct {
+		spans []Span
+		want  time.Duration
+	}{
+		{nil, 7}, {[]Span{s(8, 9)}, 7}, {[]Span{s(0, 1)}, 7}, {[]Span{s(0, 3)}, 9}, {[]Span{s(2, 3)}, 9},
+		{[]Span{s(8, 10), s(2, 3)}, 16}, {[]Span{s(2, 3), s(9, 10)}, 9},
+	} {
+		if got := ToldBy(time.Second, within, c.spans); got != c.want*time.Second {
+			t.Errorf("%v: told by %v, want %v", c.spans, got, c.want*time.Second)
+		}
+	}
+}
+
+func TestSift_FindsViolationsAndCrashes(t *testing.T) {
+	log := fmt.Sprint("1 info started\n2 error a rule was broken {}\n3 error an event could not be handled\n4 debug news of the list\n")
+	violations, crashes := sift([]byte(log))
+	if len(violations) != 1 || len(crashes) != 1 {
+		t.Errorf("violations %q, crashes %q", violations, crashes)
+	}
+}
