A node that ends closes its listener as soon as it accepts nobody any more

Change: empty closes it. Fronts deal for 0.4 s after SIGTERM and the listener is emptied after 0.6 s at the soonest, so only what comes outside of that is touched.

--- a/internal/lifecycle/accept.go
+++ b/internal/lifecycle/accept.go
@@ -59,13 +59,15 @@
 const closeWithin = 100 * time.Millisecond
 
 // empty accepts who waits in the queue, for a moment, and ends accepting: closing a listener breaks the connections in
-// its queue, and what they have asked for is taken on. False where another process accepts from it.
+// its queue, and what they have asked for is taken on. It is closed as soon as nobody accepts from it any more: whoever
+// comes later is refused, and not kept in a queue that nobody looks at. False where another process accepts from it.
 func (l *listener) empty() bool {
 	if l.inherited {
 		return false
 	}
 	_ = l.SetDeadline(time.Now().Add(poll))
 	l.ended()
+	l.Close()
 	return true
 }
 
