--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -65,7 +65,7 @@
 	// mostMoves bounds how often a client of a node that ended comes again mid-flow.
 	mostMoves = 3
 	// crossing is the time in which a FIN that was sent before a request came is read after it was written.
-	crossing = 5 * time.Millisecond
+	crossing  = 5 * time.Millisecond
 	floodSize = 48 << 10
 )
 
