--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,7 +99,8 @@
 	watches map[chan struct{}]bool
 	asked   []chan struct{} // by those who wait for the step that comes
 
-	saving func(done bool) error // tests: called before and after each write, and may end the agent there
+	write  func(fleet.Change) error // puts a change on disk
+	saving func(done bool) error    // tests: called before and after each write, and may end the agent there
 }
 
 // peer is an instance that is followed.
@@ -128,6 +129,7 @@
 	if a.store, err = OpenStore(cfg.Store); err != nil {
 		return nil, err
 	}
+	a.write = a.store.Save
 	ops, holds, fence, err := a.store.Load()
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: %w", cfg.Store, err), a.store.Close())
@@ -256,12 +258,12 @@
 
 func (a *Agent) save(c fleet.Change) error {
 	if a.saving == nil {
-		return a.store.Save(c)
+		return a.write(c)
 	}
 	if err := a.saving(false); err != nil {
 		return err
 	}
-	return errors.Join(a.store.Save(c), a.saving(true))
+	return errors.Join(a.write(c), a.saving(true))
 }
 
 // logged writes a line for each state that changed.
