An agent whose disk takes nothing for a while goes on once it can write

Cause: Agent.save gave the error of one write to the loop, which ended. Change: a write is tried again, 50 ms to 2 s apart, until it is done or the agent is told to end; nothing is told and nobody answered meanwhile.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -229,12 +229,12 @@
 	}
 }
 
-// step does what is to be done now. What is to be told is on disk first: an agent that can't write tells nothing, and
-// ends, since what it would tell next it could not know again.
+// step does what is to be done now. What is to be told is on disk first: an agent that can't write tells nothing until it
+// can, since what it would tell next it could not know again.
 func (a *Agent) step(ctx context.Context) (wake time.Duration, err error) {
 	change, tells, wake := a.fleet.Next(a.now())
 	if !change.Empty() {
-		if err := a.save(change); err != nil {
+		if err := a.save(ctx, change); err != nil {
 			return 0, fmt.Errorf("the store can't be written, so nothing more is told: %w", err)
 		}
 		a.logged(change)
@@ -256,14 +256,34 @@
 	return wake, nil
 }
 
-func (a *Agent) save(c fleet.Change) error {
+func (a *Agent) save(ctx context.Context, c fleet.Change) error {
 	if a.saving == nil {
-		return a.write(c)
+		return a.writeUntilDone(ctx, c)
 	}
 	if err := a.saving(false); err != nil {
 		return err
 	}
-	return errors.Join(a.write(c), a.saving(true))
+	return errors.Join(a.writeUntilDone(ctx, c), a.saving(true))
+}
+
+// The wait before a change is written again after a failure; it doubles up to the larger one.
+const writeAgainFirst, writeAgainMost = 50 * time.Millisecond, 2 * time.Second
+
+// writeUntilDone writes a change, again and again where that fails: a disk may be full for a while, and what was taken on
+// is still owed. Nothing else is done meanwhile. The error is that of the last try, once ctx has ended.
+func (a *Agent) writeUntilDone(ctx context.Context, c fleet.Change) error {
+	for wait := writeAgainFirst; ; wait = min(2*wait, writeAgainMost) {
+		err := a.write(c)
+		if err == nil {
+			return nil
+		}
+		a.log.Error("the store can't be written: nothing is told until it can", zap.Error(err), zap.Duration("again in", wait))
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait):
+		}
+	}
 }
 
 // logged writes a line for each state that changed.
