Failing test: a discovery that is slow with the whole list is never learnt from

Found by going through terms and paths: after SIGHUP the whole list is asked for, and each call is given up after 1.5 s; a discovery that takes 2 s each time is asked for ever, and hosts that drain there are sent to.

--- a/internal/driver/watch_test.go
+++ b/internal/driver/watch_test.go
@@ -143,3 +143,30 @@
 		t.Errorf("the node holds %v", r.n.View().Hosts)
 	}
 }
+
+// A discovery that is named anew and takes longer for the whole list than the first call waits is heard out by the next.
+func TestWholeList_SlowDiscovery_IsLearnt(t *testing.T) {
+	t.Parallel()
+	const slow = listWait + 500*time.Millisecond
+	list := `{"revision":1,"complete":true,"members":[{"id":"b","host_port":"127.0.0.1:2","phase":"SERVING","size":1}]}` + "\n"
+	fresh := host(t, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		line, _ := in.ReadString('\n')
+		time.Sleep(slow)
+		if strings.Contains(line, "watch=1") {
+			_, _ = io.WriteString(c, head+chunk(list))
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+	})
+	for _, ask := range []bool{false, true} {
+		r := newRigOf(t, zap.NewNop(), true, refusing(t), func(s *settings.Settings) { s.AskList, s.AskWithin = ask, 10*time.Second })
+		r.n.Follow(fresh)
+		named := time.Now()
+		waitFor(t, "the list is learnt", func() bool { return len(r.n.View().Hosts) == 1 })
+		if took := time.Since(named); took > toldWithin {
+			t.Errorf("asked %v: learnt after %v", ask, took)
+		}
+	}
+}
