The whole list of a slow discovery is learnt: the second call waits for twice as long

Cause: Discovery.whole gave each call 1.5 s, so that one that is lost after SIGHUP is made again within 4 s; where the service itself takes longer, each was given up. Change: after a call that was given up the next one waits for 3 s. A discovery that takes over 3 s is still not learnt from; its callers' own bound of 6 s leaves no more.

--- a/internal/driver/discovery.go
+++ b/internal/driver/discovery.go
@@ -20,7 +20,7 @@
 const (
 	toldWithin = 6 * time.Second
 	callWait   = 3 * time.Second         // for the first answer of a watch, from the start of its dial
-	listWait   = 1500 * time.Millisecond // for the whole list: a discovery that was just named is to be told of soon
+	listWait   = 1500 * time.Millisecond // for the whole list, first: a discovery that was just named is to be told of soon
 	beatWait   = 3 * time.Second         // a beat of 2 s and half of one: a watch that brings nothing whole for longer is broken
 )
 
@@ -29,6 +29,7 @@
 	log  *zap.Logger
 	node *node.Node
 	asks chan node.Call
+	slow atomic.Bool // the last call for the whole list was given up: the next one waits for longer
 }
 
 // NewDiscovery makes a follower of discovery. Attach must follow before Run.
@@ -158,7 +159,12 @@
 
 // whole asks for the whole list.
 func (y *Discovery) whole(ctx context.Context, addr string) (list wire.Catalog, err error) {
-	c, done, err := dial(ctx, addr, listWait)
+	wait := listWait
+	if y.slow.Load() {
+		wait = callWait
+	}
+	defer func() { y.slow.Store(err != nil && timedOut(err)) }()
+	c, done, err := dial(ctx, addr, wait)
 	if err != nil {
 		return list, err
 	}
