Failing test: a dial that this machine could not make is put down to the host

Found by going through terms and paths: socket or connect that fail for want of descriptors, buffers or ports count as a host that can't be reached, and it is ejected; a request goes through MaxAttempts hosts in a moment. Measured: the test fails and is listed.

--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"onyxstream/brain"
 )
 
 // failedCall is a read that failed as the system reports it.
@@ -88,3 +90,26 @@
 		})
 	}
 }
+
+// A dial that this machine could not make says nothing of the host, and nothing was sent.
+func TestAttemptError_LocalFailure_BlamesNoHost(t *testing.T) {
+	for _, c := range []struct {
+		errno syscall.Errno
+		want  brain.Outcome
+	}{
+		{syscall.EMFILE, brain.NeverPassed},
+		{syscall.ENFILE, brain.NeverPassed},
+		{syscall.ENOBUFS, brain.NeverPassed},
+		{syscall.ENOMEM, brain.NeverPassed},
+		{syscall.EADDRNOTAVAIL, brain.NeverPassed},
+		{syscall.ECONNREFUSED, brain.NoConnect},
+		{syscall.EHOSTUNREACH, brain.NoConnect},
+		{syscall.ENETUNREACH, brain.NoConnect},
+		{syscall.ETIMEDOUT, brain.NoConnect},
+	} {
+		failed := &AttemptError{Dialing, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", c.errno)}}
+		if got := failed.Outcome(); got != c.want {
+			t.Errorf("%v: outcome %v, want %v", failed, got, c.want)
+		}
+	}
+}
