A dial that this machine could not make ejects no host

Cause: AttemptError.Outcome called every failed dial NoConnect. Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL at the dial are NeverPassed: nobody's fault, and known not to have run.

--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"onyxstream/brain"
@@ -51,8 +53,8 @@
 // Outcome puts the error in the module's terms.
 func (e *AttemptError) Outcome() brain.Outcome {
 	switch {
-	case e.Stage == Asking, e.Stage < Awaiting && errors.Is(e.Err, errWithdrawn):
-		return brain.NeverPassed // nobody's fault, and the host never had its last byte
+	case e.Stage == Asking, e.Stage < Awaiting && errors.Is(e.Err, errWithdrawn), e.Stage == Dialing && isLocal(e.Err):
+		return brain.NeverPassed // not the host's fault, and it never had the last byte
 	case errors.Is(e.Err, errWithdrawn):
 		return brain.Cancelled
 	case e.Stage < Awaiting:
@@ -69,6 +71,14 @@
 	return brain.Reset
 }
 
+// localErrors are those of a dial that this machine could not make: it lacks descriptors, memory or ports for a moment.
+var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// isLocal reports whether a dial failed for want of something on this machine: that says nothing of the host.
+func isLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
 // permit is what an attempt is held to by its connection.
 type permit struct {
 	connect time.Duration         // the dial's limit, 0 for none
