--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -70,6 +70,7 @@
 		v.answer(f, receipts, kills, limits, facts)
 	}
 	v.leavers(recs, fates, limits, facts)
+	v.falls(recs)
 	v.drains(recs, limits, facts)
 	v.repeats(recs, facts)
 	return v
@@ -173,6 +174,15 @@
 	}
 }
 
+// falls finds hosts in slow start that all nodes together pushed over.
+func (v *Verdict) falls(recs []stand.Record) {
+	for _, r := range recs {
+		if r.What == stand.Fault && r.Note == "fell over" {
+			v.wrong("%s: it was pushed over at %v", r.Who, r.At)
+		}
+	}
+}
+
 // ToldBy is when all count as told of a change: the first moment before which discovery could be reached for so long on
 // end, since the change.
 func ToldBy(change, within time.Duration, unreachable []Span) time.Duration {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -84,6 +84,7 @@
 			b.add(0, "h1", stand.Fault, "", "drains")
 			b.add(Usual.Told+Usual.DrainGrace+Usual.Ledger+ms, "h1", stand.Opened, "a", "")
 		}, ""},
+		{"pushed over", Facts{}, func(b *book) { b.add(0, "h1", stand.Fault, "", "fell over") }, "pushed over"},
 		{"repeated", unsafe, func(b *book) {
 			b.add(0, "h1", stand.Opened, "a", "")
 			b.add(time.Second, "h2", stand.Opened, "a", "")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,14 +38,14 @@
 }
 
 // Troubles that overlap, drawn from a seed, break no rule at a fleet of real processes. ONYXSTREAM_SOAK plays so many
-// seeds from ONYXSTREAM_SEED on, with ONYXSTREAM_NODES nodes; ONYXSTREAM_SOAK_LOGS names a folder for the logs of runs in
+// seeds from ONYXSTREAM_SEED on, with ONYXSTREAM_NODES nodes and clients for ONYXSTREAM_SOAK_SECONDS; ONYXSTREAM_SOAK_LOGS names a folder for the logs of runs in
 // which a rule broke.
 func TestSoak_OverlappingTroubles_RulesHold(t *testing.T) {
 	program, err := built()
 	if err != nil {
 		t.Fatal(err)
 	}
-	shape := Shape{Nodes: number("ONYXSTREAM_NODES", 24), Hosts: 12, Length: 8 * time.Second}
+	shape := Shape{Nodes: number("ONYXSTREAM_NODES", 24), Hosts: 12, Length: time.Duration(number("ONYXSTREAM_SOAK_SECONDS", 8)) * time.Second}
 	first := number("ONYXSTREAM_SEED", 1)
 	for seed := first; seed < first+number("ONYXSTREAM_SOAK", 2); seed++ {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
