--- a/brain/brain.go
+++ b/brain/brain.go
@@ -114,7 +114,7 @@
 	}
 	aim := b.set.Classes[r.Class].SetupAim
 	if s == nil {
-		b.giveUp(r, aim, b.unplaced(r, left))
+		b.reject(r, aim, b.unplaced(r, left))
 		return
 	}
 	// A hung server says nothing: leave time for another. But where set-ups are slow everywhere, one given up
@@ -222,7 +222,7 @@
 func (b *Brain) place(r *request) *server {
 	// One that operators called back is used again soon, to show them that it is, also where its entries come up
 	// seldom: once it has waited, it gets the next request that may go there.
-	for _, s := range b.backs {
+	for _, s := range b.returning {
 		if b.now >= s.backAt+backWithin && !r.MidFlow && b.mayTake(s, r) && !b.ejected(s) {
 			return s
 		}
@@ -317,8 +317,8 @@
 	return true
 }
 
-// giveUp answers at once: refused where that is known to be harmless, else failed.
-func (b *Brain) giveUp(r *request, wait time.Duration, why Reason) {
+// reject answers at once: refused where that is known to be harmless, else failed.
+func (b *Brain) reject(r *request, wait time.Duration, why Reason) {
 	c := &b.set.Classes[r.Class]
 	harmless := true
 	for i := range r.attempts {
@@ -392,8 +392,8 @@
 	}
 }
 
-// depart sends what stands away as the node drains, least worth first, and evenly: no wave for the others.
-func (b *Brain) depart() {
+// evictConnections sends what stands away as the node drains, least worth first, and evenly: no wave for the others.
+func (b *Brain) evictConnections() {
 	on := b.standing(nil)
 	steps := max((b.leaving.By-b.now)/sweepEvery, 1)
 	for _, r := range on[:(len(on)+int(steps)-1)/int(steps)] {
@@ -418,8 +418,8 @@
 	return on
 }
 
-// relieve moves connections off a server until it is within its limit, least worth for their load first.
-func (b *Brain) relieve(s *server, over float64) {
+// shedLoad moves connections off a server until it is within its limit, least worth for their load first.
+func (b *Brain) shedLoad(s *server, over float64) {
 	for _, r := range b.standing(s) {
 		if over < r.load*b.rng.Float64() {
 			return
@@ -436,7 +436,7 @@
 	b.weigh()
 	b.most -= (b.most - b.weight) / forgetful // a fleet made smaller for good is not short for ever
 	if b.leaving.On && !b.leaving.Stay {
-		b.depart()
+		b.evictConnections()
 	}
 	b.relaxWithTime()
 	if b.now >= b.secondAt+time.Second {
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -75,7 +75,7 @@
 			b.table.settle()
 		}
 		if e.Kind == ListAside && s.backAt == 0 {
-			s.backAt, b.backs = b.now, append(b.backs, s)
+			s.backAt, b.returning = b.now, append(b.returning, s)
 		}
 		if initial = append(initial, s); !fresh {
 			b.table.fill(s, b.now)
@@ -236,5 +236,5 @@
 func (b *Brain) cut(s *server, keep float64) {
 	s.peak = max(b.bears(s), s.peak*headroom)
 	s.limit, s.limitAt = b.bears(s)*keep, b.now
-	b.relieve(s, b.bears(s)-s.limit)
+	b.shedLoad(s, b.bears(s)-s.limit)
 }
--- a/brain/load_test.go
+++ b/brain/load_test.go
@@ -342,7 +342,7 @@
 	}
 	out(at+6*time.Second, Live)
 	out(at+7*time.Second, Draining)
-	if come(at+10*time.Second, "out again"); on["b"] != 1 || len(b.backs) > 0 {
+	if come(at+10*time.Second, "out again"); on["b"] != 1 || len(b.returning) > 0 {
 		t.Errorf("out again: %v", on)
 	}
 }
--- a/brain/pacing.go
+++ b/brain/pacing.go
@@ -19,7 +19,7 @@
 	late := wait + b.sendInterval*time.Duration(len(b.pacingQueue))
 	switch {
 	case b.leaving.On && b.now >= b.leaving.Shut && !r.MidFlow: // who is mid-flow was answered long ago
-		b.giveUp(r, b.leaving.After, ReasonDraining)
+		b.reject(r, b.leaving.After, ReasonDraining)
 	case r.MidFlow && len(r.attempts) == 0: // it goes on where it stands
 		b.send(r, left)
 	case b.slowStartFull():
@@ -28,7 +28,7 @@
 		b.nextSendAt = b.now + b.sendInterval
 		b.send(r, left)
 	case late > min(left, b.minDeadline)/2:
-		b.giveUp(r, late, ReasonPaced)
+		b.reject(r, late, ReasonPaced)
 	default:
 		b.pacingQueue = append(b.pacingQueue, r)
 	}
@@ -45,7 +45,7 @@
 func (b *Brain) awaitSetup(r *request, left time.Duration) {
 	waited := r.Left - left // looked at each shortest aim: the first time past the half ends it
 	if waited > min(r.Left, b.minDeadline)/2 || len(b.pacingQueue) >= maxAwaiting {
-		b.giveUp(r, b.minSetupAim, ReasonSlowStart)
+		b.reject(r, b.minSetupAim, ReasonSlowStart)
 		return
 	}
 	if b.nextSendAt <= b.now+tick { // if none comes up
--- a/brain/state.go
+++ b/brain/state.go
@@ -67,8 +67,8 @@
 	groups       map[string]int
 	tenants      []int // open connections of each, the last for requests of none
 
-	leaving Leave     // the node's own drain
-	backs   []*server // that operators called back and that have had nothing since, the first one first
+	leaving   Leave     // the node's own drain
+	returning []*server // that operators called back and that have had nothing since, the first one first
 
 	sweeping, asking, watching bool
 	askedAt, askNotBy, backoff time.Duration
@@ -204,7 +204,7 @@
 // used notes that a server that was called back is in use again, or gone.
 func (b *Brain) used(s *server) {
 	if s.backAt > 0 {
-		s.backAt, b.backs = 0, slices.DeleteFunc(b.backs, func(o *server) bool { return o == s })
+		s.backAt, b.returning = 0, slices.DeleteFunc(b.returning, func(o *server) bool { return o == s })
 	}
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -109,7 +109,7 @@
 	client *control.Client
 	err    error // of the address
 	cancel context.CancelFunc
-	poke   chan struct{} // ask now
+	wake   chan struct{} // ask now
 }
 
 // New opens the store and the inventory. Close must follow.
@@ -312,7 +312,7 @@
 	}
 	a.post(func() { a.fleet.Answered(a.now(), t, answer, err) })
 	select {
-	case p.poke <- struct{}{}:
+	case p.wake <- struct{}{}:
 	default:
 	}
 }
@@ -328,7 +328,7 @@
 			}
 			p.cancel()
 		}
-		p := &peer{Instance: v.Instance, poke: make(chan struct{}, 1)}
+		p := &peer{Instance: v.Instance, wake: make(chan struct{}, 1)}
 		var cfg *tls.Config
 		if a.keys != nil {
 			cfg = a.keys.Client(v.Name)
@@ -361,7 +361,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
-		case <-p.poke:
+		case <-p.wake:
 		}
 		var st control.Status
 		asked, err := a.now(), p.err
--- a/internal/driver/closing.go
+++ b/internal/driver/closing.go
@@ -18,7 +18,7 @@
 //   - finish: the line is written whole, then FIN. What the client still says is read and dropped until it ends its side,
 //     for half a second and 64 KiB at most.
 //   - linger: the same without a line.
-//   - part company with farewell: the line, FIN, what has come is read, and the close at once, where no goroutine may
+//   - closeWithMessage: the line, FIN, what has come is read, and the close at once, where no goroutine may
 //     wait for the client. What comes later meets a closed connection.
 //   - reset: nothing is promised. It passes on a reset from the other side, or ends what was broken.
 
@@ -31,7 +31,7 @@
 
 // linger ends the node's side and waits for the client's end, but reads no flood.
 func (c *conn) linger() {
-	c.d.dismiss(c)
+	c.d.markAnswered(c)
 	_ = c.client.CloseWrite()
 	c.mu.Lock()
 	c.over = true
@@ -47,8 +47,8 @@
 	}
 }
 
-// farewell gives a client a line as its last word, "" for none, and closes the connection without waiting for anything.
-func farewell(client *net.TCPConn, line string) {
+// closeWithMessage gives a client a line as its last word, "" for none, and closes the connection without waiting for anything.
+func closeWithMessage(client *net.TCPConn, line string) {
 	_ = client.SetWriteDeadline(time.Now().Add(turn))
 	if line != "" {
 		_, _ = io.WriteString(client, line)
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -48,20 +48,20 @@
 	running  int                // its number
 	host     *net.TCPConn       // set when up
 	aborted  bool
-	bowed    bool     // the driver ends: no attempt comes up any more
+	ending   bool     // the driver ends: no attempt comes up any more
 	unheard  bool     // it is closed for another one: its first line is read no more
 	over     bool     // nothing more is read of the client for its host
 	parking  *parking // it is brought to rest, nil while it is not
 	unrest   int      // how often it could not be handed to another process
 	spoke    bool     // the client said more than its first line before it was up
 
-	early   *list.Element // its place among those that hold one descriptor; the driver's mu guards it
-	since   time.Time     // when it came, or had its answer; likewise
-	charged bool          // it holds the descriptor of a host too; likewise
-	met     atomic.Bool   // it was read from: what it had said by then is known
-	rests   atomic.Bool   // it has had its PONG and says nothing more for now
-	begun   atomic.Bool   // it has said a part of its first line
-	bid     bool          // it has had its last word; the driver's mu guards it
+	early        *list.Element // its place among those that hold one descriptor; the driver's mu guards it
+	since        time.Time     // when it came, or had its answer; likewise
+	charged      bool          // it holds the descriptor of a host too; likewise
+	met          atomic.Bool   // it was read from: what it had said by then is known
+	rests        atomic.Bool   // it has had its PONG and says nothing more for now
+	begun        atomic.Bool   // it has said a part of its first line
+	answeredLast bool          // it has had its last word; the driver's mu guards it
 
 	longest time.Duration // that a message waited for its answer; the relay's own
 	on      string        // the host of the attempt, or where it stands
@@ -93,7 +93,7 @@
 func (c *conn) Refuse(after time.Duration) { c.tell(command{reply: wire.Busy(after)}) }
 func (c *conn) Fail()                      { c.tell(command{reply: wire.Err}) }
 
-func (c *conn) Go(_ int, ok bool) {
+func (c *conn) Proceed(_ int, ok bool) {
 	select {
 	case c.verdict <- ok:
 	default:
@@ -118,8 +118,8 @@
 	}
 }
 
-func (c *conn) Pulse(now time.Time) node.Pulse {
-	p := node.Pulse{Answered: c.answered.Load(), Took: time.Duration(c.took.Load())}
+func (c *conn) MessageStats(now time.Time) node.MessageStats {
+	p := node.MessageStats{Answered: c.answered.Load(), Took: time.Duration(c.took.Load())}
 	if since := c.waiting.Load(); since != 0 {
 		p.Waiting = time.Duration(nanos(now) - since)
 	}
@@ -141,10 +141,10 @@
 	reset(c.client)
 }
 
-// bow ends a connection with the driver, whose mutex is held: one that is up is reset, or left where packets pass
+// shutDown ends a connection with the driver, whose mutex is held: one that is up is reset, or left where packets pass
 // through. Any other ends by its own goroutine, which alone knows what was read: one that is owed its answer is given it
 // by drive; one that has not said whole what it wants may have by now, and is heard out by hello.
-func (c *conn) bow(pass bool) {
+func (c *conn) shutDown(pass bool) {
 	switch up := c.isUp(); {
 	case up && pass:
 	case up || c.charged && c.open.At != "":
@@ -152,7 +152,7 @@
 	default:
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.bowed = true
+		c.ending = true
 		if c.withdraw != nil {
 			c.withdraw()
 		}
@@ -162,11 +162,11 @@
 	}
 }
 
-// bows reports whether the driver ends, and the connection with it.
-func (c *conn) bows() bool {
+// shuttingDown reports whether the driver ends, and the connection with it.
+func (c *conn) shuttingDown() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bowed
+	return c.ending
 }
 
 // isUp reports whether a host holds the connection.
@@ -295,7 +295,7 @@
 		c.rests.Store(false)
 		c.begun.Store(true) // where it was read late
 		return true
-	case over && c.bows() && len(in.Rest()) > 0:
+	case over && c.shuttingDown() && len(in.Rest()) > 0:
 		c.finish(c.d.comeAgain())
 	case over:
 		c.linger()
@@ -344,7 +344,7 @@
 func (c *conn) hearUntil(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bowed {
+	if c.ending {
 		t = past
 	}
 	_ = c.client.SetReadDeadline(t)
--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -214,7 +214,7 @@
 	client, server := pair(t)
 	_, _ = io.WriteString(client, strings.Repeat("x", 20000))
 	waitFor(t, "it lies there", func() bool { return unread(t, server) > 0 })
-	farewell(server, "BUSY\r\n")
+	closeWithMessage(server, "BUSY\r\n")
 	if state := tcpState(t, client); state != closeWait { // a reset would have ended it
 		t.Errorf("the client's side is in state %d", state)
 	}
@@ -371,7 +371,7 @@
 	r.ask(t, "OPEN a key c=chat,d=500000")
 	k := r.only(t)
 	waitFor(t, "it waits for the loop", func() bool { return r.d.Owing() == 1 })
-	k.Go(0, true) // late
+	k.Proceed(0, true) // late
 	var in wire.Inbox
 	defer in.Free()
 	_, _, failed := k.try(node.Attempt{N: 1, Addr: h.addr, Timeout: 200 * time.Millisecond}, &in)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -132,7 +132,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed { // accepted in the very moment: it may have asked for something already
-		farewell(client, d.comeAgain())
+		closeWithMessage(client, d.comeAgain())
 		return true
 	}
 	if d.early.Len() >= d.heard() {
@@ -140,7 +140,7 @@
 		if first == nil {
 			return false
 		}
-		d.shed(first)
+		d.rejectOverload(first)
 	}
 	c := d.newConn(client, now)
 	c.early = d.early.PushBack(c)
@@ -178,9 +178,9 @@
 		c := e.Value.(*conn)
 		fresh := now.Sub(c.since) < turn
 		switch {
-		case c.bid && fresh:
+		case c.answeredLast && fresh:
 			return nil
-		case c.bid:
+		case c.answeredLast:
 			return c
 		case first == nil && !fresh && c.met.Load():
 			first = c
@@ -189,16 +189,16 @@
 	return first
 }
 
-// shed closes a client that holds one descriptor. One that has begun its line is refused: a close alone would lose what
+// rejectOverload closes a client that holds one descriptor. One that has begun its line is refused: a close alone would lose what
 // it asks for. mu is held, and the write waits for nobody: nothing was written before.
-func (d *Driver) shed(c *conn) {
+func (d *Driver) rejectOverload(c *conn) {
 	line := ""
-	if !c.bid && c.stopHearing() {
+	if !c.answeredLast && c.stopHearing() {
 		line = d.comeAgain()
 	}
-	d.log.Info("a client is closed to make room for another one", zap.Bool("refused", line != ""), zap.Bool("answered", c.bid))
+	d.log.Info("a client is closed to make room for another one", zap.Bool("refused", line != ""), zap.Bool("answered", c.answeredLast))
 	d.release(c)
-	farewell(c.client, line)
+	closeWithMessage(c.client, line)
 }
 
 // comeAgain is the refusal of the driver's own, of what was never sent on.
@@ -249,7 +249,7 @@
 		if first == nil {
 			first = d.early.Front().Value.(*conn)
 		}
-		d.shed(first)
+		d.rejectOverload(first)
 	}
 	return true, true
 }
@@ -271,19 +271,19 @@
 	return true
 }
 
-// dismiss notes that a client has had its last word, and no host is held for it any more.
-func (d *Driver) dismiss(c *conn) {
+// markAnswered notes that a client has had its last word, and no host is held for it any more.
+func (d *Driver) markAnswered(c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if was := c.early != nil; was || c.charged {
 		d.release(c)
-		c.since, c.bid = time.Now(), true
+		c.since, c.answeredLast = time.Now(), true
 		c.early = d.early.PushBack(c)
 	}
 }
 
-// bowWithin is how long the end waits for those who are not up to have their last word, and to leave by it.
-const bowWithin = 100 * time.Millisecond
+// shutDownWithin is how long the end waits for those who are not up to have their last word, and to leave by it.
+const shutDownWithin = 100 * time.Millisecond
 
 // End ends what the driver has open, and waits for it. No client may be accepted any more. Who is owed an answer still
 // gets one, the same as from the backstop: a reset would leave it with none. Where packets pass through, connections that
@@ -294,11 +294,11 @@
 	d.shut(pass)
 	d.mu.Unlock()
 	d.wg.Wait()
-	for by := time.Now().Add(bowWithin); len(d.remaining(pass)) > 0 && time.Now().Before(by); {
+	for by := time.Now().Add(shutDownWithin); len(d.remaining(pass)) > 0 && time.Now().Before(by); {
 		time.Sleep(time.Millisecond)
 	}
 	for _, c := range d.remaining(pass) {
-		farewell(c.client, "") // it has had its last word, and does not leave
+		closeWithMessage(c.client, "") // it has had its last word, and does not leave
 	}
 	if !pass {
 		d.clients.Wait()
@@ -312,7 +312,7 @@
 	}
 	d.closed = true
 	for c := range d.conns {
-		c.bow(pass)
+		c.shutDown(pass)
 	}
 	for id, p := range d.pingers {
 		delete(d.pingers, id)
--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -57,7 +57,7 @@
 	waitFor(t, "the request has come", func() bool { return unread(t, server) > 0 })
 	r.d.mu.Lock()
 	c.early = r.d.early.PushBack(c)
-	r.d.shed(c)
+	r.d.rejectOverload(c)
 	r.d.mu.Unlock()
 	if heard, err := io.ReadAll(client); err != nil || !strings.HasPrefix(string(heard), "BUSY") {
 		t.Errorf("heard %q, %v", heard, err)
--- a/internal/driver/park.go
+++ b/internal/driver/park.go
@@ -168,7 +168,7 @@
 func (d *Driver) Adopt(s Standing) error {
 	err := d.adopt(s)
 	if err != nil {
-		farewell(s.Client, wire.Move)
+		closeWithMessage(s.Client, wire.Move)
 		_ = s.Peer.Close()
 	}
 	return err
--- a/internal/driver/request.go
+++ b/internal/driver/request.go
@@ -138,7 +138,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.withdraw, c.running, c.on = cancel, n, host
-	if c.aborted || c.bowed || c.isGone() {
+	if c.aborted || c.ending || c.isGone() {
 		cancel()
 	}
 	return ctx, func() {
@@ -184,7 +184,7 @@
 func (c *conn) raise(host *net.TCPConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isGone() || c.aborted || c.bowed {
+	if c.isGone() || c.aborted || c.ending {
 		return false
 	}
 	_ = host.SetDeadline(time.Time{})
--- a/internal/handover/document.go
+++ b/internal/handover/document.go
@@ -69,8 +69,8 @@
 }
 
 const (
-	// mostWords bounds the hosts in a document; more are refused.
-	mostWords = 1024
+	// maxOverrides bounds the hosts in a document; more are refused.
+	maxOverrides = 1024
 	// mostBytes bounds what is read: a larger file is none of ours.
 	mostBytes = 1 << 20
 	mostName  = 128
@@ -81,13 +81,13 @@
 )
 
 // ErrFull says that no more words can be held.
-var ErrFull = fmt.Errorf("words on %d hosts are held, no more can be", mostWords)
+var ErrFull = fmt.Errorf("words on %d hosts are held, no more can be", maxOverrides)
 
 // Say notes a word. Returns that are long past make room.
 func (d *Document) Say(host string, out bool, at time.Time) error {
 	d.Words = slices.DeleteFunc(d.Words, func(w Word) bool { return w.Host != host && !w.Out && at.Sub(w.At) > remembered })
 	i := slices.IndexFunc(d.Words, func(w Word) bool { return w.Host == host })
-	if i < 0 && len(d.Words) >= mostWords {
+	if i < 0 && len(d.Words) >= maxOverrides {
 		return ErrFull
 	}
 	if i < 0 {
@@ -148,7 +148,7 @@
 	if d.Node != node {
 		return Document{}, fmt.Errorf("it is of node %q", d.Node)
 	}
-	if len(d.Words) > mostWords {
+	if len(d.Words) > maxOverrides {
 		return Document{}, ErrFull
 	}
 	for _, w := range d.Words {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -78,7 +78,7 @@
 	f.Add(text)
 	f.Add([]byte("onyxstream-handover-1 00000000 2\n{}"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		if d, err := Decode(text, "n1"); err == nil && (d.Node != "n1" || len(d.Words) > mostWords) {
+		if d, err := Decode(text, "n1"); err == nil && (d.Node != "n1" || len(d.Words) > maxOverrides) {
 			t.Errorf("%q is read as %+v", text, d)
 		}
 	})
@@ -86,7 +86,7 @@
 
 func TestWordsAreBoundedAndReturnsForgotten(t *testing.T) {
 	d := Document{Node: "n1"}
-	for i := range mostWords {
+	for i := range maxOverrides {
 		if err := d.Say(fmt.Sprint("h", i), i%2 == 0, noon); err != nil {
 			t.Fatal(err)
 		}
@@ -97,7 +97,7 @@
 	if err := d.Say("h0", false, noon); err != nil {
 		t.Errorf("one that is held: %v", err)
 	}
-	if err := d.Say("more", true, noon.Add(remembered+time.Second)); err != nil || len(d.Words) != mostWords/2 {
+	if err := d.Say("more", true, noon.Add(remembered+time.Second)); err != nil || len(d.Words) != maxOverrides/2 {
 		t.Errorf("when returns are long past: %v, %d words", err, len(d.Words))
 	}
 }
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -176,7 +176,7 @@
 	now := time.Now()
 	switch cmd.Kind {
 	case control.Drain:
-		return c.node.Leave(node.Away{By: now.Add(cmd.Within), Shut: now.Add(cmd.Open), After: cmd.After, Keep: cmd.Keep})
+		return c.node.Leave(node.DrainPlan{By: now.Add(cmd.Within), Shut: now.Add(cmd.Open), After: cmd.After, Keep: cmd.Keep})
 	case control.Resume:
 		return c.node.Stay()
 	case control.HostDrain, control.HostResume:
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -45,7 +45,7 @@
 	took    time.Duration
 	outcome brain.Outcome
 	load    float64
-	port    Port
+	port    ClientConn
 	opening *wire.Opening
 	until   time.Time
 	at      time.Time
@@ -56,7 +56,7 @@
 	facts   []Fact
 	tell    chan []Fact
 	text    string
-	away    *Away
+	away    *DrainPlan
 	must    bool
 	verdict chan error
 	passed  *Passed
@@ -73,7 +73,7 @@
 }
 
 // Arrive tells of a client's first line; until is when the client stops waiting.
-func (n *Node) Arrive(o *wire.Opening, until time.Time, p Port) {
+func (n *Node) Arrive(o *wire.Opening, until time.Time, p ClientConn) {
 	n.post(event{kind: evArrive, id: brain.RequestID(o.ID), opening: o, until: until, port: p})
 }
 
@@ -81,22 +81,22 @@
 // second client with the id of an open request must not speak for the first.
 
 // Inherit tells of a connection that stood at its host before the run and is up there again; Resume came before.
-func (n *Node) Inherit(o *wire.Opening, p Port) {
+func (n *Node) Inherit(o *wire.Opening, p ClientConn) {
 	n.post(event{kind: evInherit, id: brain.RequestID(o.ID), opening: o, port: p})
 }
 
 // Connected asks whether an attempt whose connection has come up may still be written.
-func (n *Node) Connected(id brain.RequestID, p Port, attempt int) {
+func (n *Node) Connected(id brain.RequestID, p ClientConn, attempt int) {
 	n.post(event{kind: evConnected, id: id, port: p, attempt: attempt})
 }
 
 // Opened tells that a host has taken the connection.
-func (n *Node) Opened(id brain.RequestID, p Port, attempt int, took time.Duration) {
+func (n *Node) Opened(id brain.RequestID, p ClientConn, attempt int, took time.Duration) {
 	n.post(event{kind: evOpened, id: id, port: p, attempt: attempt, took: took})
 }
 
 // Settled tells how an attempt ended; its connection must be closed by then.
-func (n *Node) Settled(id brain.RequestID, p Port, attempt int, took time.Duration, outcome brain.Outcome) {
+func (n *Node) Settled(id brain.RequestID, p ClientConn, attempt int, took time.Duration, outcome brain.Outcome) {
 	e := settledEvent(id, attempt, outcome)
 	e.took, e.port = took, p
 	n.post(e)
@@ -107,13 +107,13 @@
 }
 
 // Load tells a connection's load.
-func (n *Node) Load(id brain.RequestID, p Port, load float64) {
+func (n *Node) Load(id brain.RequestID, p ClientConn, load float64) {
 	n.post(event{kind: evLoad, id: id, port: p, load: load})
 }
 
 // Gone tells that nothing more is owed to a client, and how many sends its connection has taken: a later one
 // is on its way to no one, and is settled here.
-func (n *Node) Gone(id brain.RequestID, p Port, taken int) {
+func (n *Node) Gone(id brain.RequestID, p ClientConn, taken int) {
 	n.post(event{kind: evGone, id: id, port: p, attempt: taken})
 }
 
@@ -125,7 +125,7 @@
 
 // Resume takes in a connection that stood at its host before the run and asks where that is, "" where that is not
 // known yet; false where its id is held already, or the loop has ended. Inherit or Gone must follow.
-func (n *Node) Resume(o *wire.Opening, p Port) (addr string, ok bool) {
+func (n *Node) Resume(o *wire.Opening, p ClientConn) (addr string, ok bool) {
 	reply := make(chan place, 1)
 	n.post(event{kind: evResume, id: brain.RequestID(o.ID), opening: o, port: p, reply: reply})
 	select {
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -50,7 +50,7 @@
 		n.log.Debug("a line may not be written", zap.String("request", string(e.id)), zap.Int("attempt", e.attempt),
 			zap.String("why", string(why)))
 	}
-	r.port.Go(e.attempt, why == "")
+	r.port.Proceed(e.attempt, why == "")
 }
 
 // written checks a line that was written.
@@ -81,6 +81,6 @@
 func (n *Node) Monitor() *invariant.Monitor { return n.monitor }
 
 // Written tells of a line that was written to its end; at is just before its first byte.
-func (n *Node) Written(id brain.RequestID, p Port, attempt int, at time.Time) {
+func (n *Node) Written(id brain.RequestID, p ClientConn, attempt int, at time.Time) {
 	n.post(event{kind: evWritten, id: id, port: p, attempt: attempt, at: at})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -69,7 +69,7 @@
 		m.listed, m.out = e, e.Phase == wire.Deleted
 		m.tell(n.worded(id, states[e.Phase]), now)
 		s := brain.Server{ID: id, Zone: -1, Cell: e.Cell, State: m.state, Weight: e.Size,
-			Since: max(m.start, n.backs[id], n.guessed), Guess: n.guessed > 0, Shun: n.shunned(id)}
+			Since: max(m.start, n.returning[id], n.guessed), Guess: n.guessed > 0, Shun: n.unreachableFor(id)}
 		if z, ok := n.zones[e.Zone]; ok {
 			s.Zone = z
 		}
@@ -149,7 +149,7 @@
 		if !r.up || !r.out || r.leaving {
 			continue
 		}
-		p := r.port.Pulse(now)
+		p := r.port.MessageStats(now)
 		if was := r.silent; p.Waiting <= silence {
 			r.silent = false
 		} else if r.silent = true; was {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,15 +18,15 @@
 	"onyxstream/internal/wire"
 )
 
-// Port is a client's connection as the loop sees it. None of its methods may block.
-type Port interface {
-	Send(Attempt)               // start an attempt
-	Go(attempt int, ok bool)    // answers Connected: the line may be written, or no more
-	Cancel(attempt int)         // withdraw an attempt that has brought no answer
-	Refuse(after time.Duration) // final answer BUSY
-	Fail()                      // final answer ERR
-	Move()                      // send the client away between two lines
-	Pulse(now time.Time) Pulse  // how its messages fare
+// ClientConn is a client's connection as the loop sees it. None of its methods may block.
+type ClientConn interface {
+	Send(Attempt)                            // start an attempt
+	Proceed(attempt int, ok bool)            // answers Connected: the line may be written, or no more
+	Cancel(attempt int)                      // withdraw an attempt that has brought no answer
+	Refuse(after time.Duration)              // final answer BUSY
+	Fail()                                   // final answer ERR
+	Move()                                   // send the client away between two lines
+	MessageStats(now time.Time) MessageStats // how its messages fare
 }
 
 // Attempt is what a connection needs to know of a send.
@@ -37,15 +37,15 @@
 	Timeout time.Duration
 }
 
-// Pulse tells how a connection's messages fare.
-type Pulse struct {
+// MessageStats tells how a connection's messages fare.
+type MessageStats struct {
 	Answered uint64        // how many messages have had their answer
 	Took     time.Duration // by the last of them
 	Waiting  time.Duration // how long the oldest one without an answer has waited; 0 for none
 }
 
-// Outside is what the loop needs of the sockets beside its ports. None of it may block.
-type Outside interface {
+// Effects is what the loop needs of the sockets beside its ports. None of it may block.
+type Effects interface {
 	Watch(Call)                               // ask discovery for the list, and follow it
 	Ping(id brain.ServerID, addr string) bool // time a message at a host; false where none is sent
 }
@@ -65,7 +65,7 @@
 type Node struct {
 	set     settings.Settings
 	brain   *brain.Brain
-	outside Outside
+	outside Effects
 	log     *zap.Logger
 	monitor *invariant.Monitor
 	base    time.Time
@@ -100,11 +100,11 @@
 }
 
 // New makes a node that knows its settings, the list as it was last held, and where to ask for it.
-func New(set settings.Settings, known wire.Catalog, discovery string, outside Outside, log *zap.Logger) *Node {
+func New(set settings.Settings, known wire.Catalog, discovery string, outside Effects, log *zap.Logger) *Node {
 	n := &Node{set: set, brain: brain.New(set.Settings), outside: outside, log: log, monitor: invariant.NewMonitor(log), base: time.Now(), discovery: discovery,
 		events: make(chan event, 1024), done: make(chan struct{}),
 		reqs: map[brain.RequestID]*request{}, givenUp: map[brain.Reason]int{}, members: map[brain.ServerID]*member{},
-		orders: orders{words: map[brain.ServerID]bool{}, backs: map[brain.ServerID]time.Duration{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
+		orders: orders{overrides: map[brain.ServerID]bool{}, returning: map[brain.ServerID]time.Duration{}}, starting: starting{empty: make(chan struct{}), dead: map[string]time.Time{}},
 		classes: index(set.ClassNames), tenants: index(set.TenantNames), zones: index(set.ZoneNames)}
 	// The simulator tells of messages that take over a third of the shortest aim, so the module expects that.
 	for _, c := range set.Classes {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,7 +22,7 @@
 	mu    sync.Mutex
 	said  []string
 	sent  []Attempt
-	pulse Pulse
+	pulse MessageStats
 }
 
 func (p *port) say(text string) {
@@ -37,12 +37,12 @@
 	p.mu.Unlock()
 	p.say(fmt.Sprintf("send %d %s", a.N, a.Addr))
 }
-func (p *port) Go(n int, ok bool)         { p.say(fmt.Sprintf("go %d %v", n, ok)) }
-func (p *port) Cancel(n int)              { p.say(fmt.Sprintf("cancel %d", n)) }
-func (p *port) Refuse(d time.Duration)    { p.say(fmt.Sprintf("refuse %v", d > 0)) }
-func (p *port) Fail()                     { p.say("fail") }
-func (p *port) Move()                     { p.say("move") }
-func (p *port) Pulse(now time.Time) Pulse { return p.pulse }
+func (p *port) Proceed(n int, ok bool)                  { p.say(fmt.Sprintf("go %d %v", n, ok)) }
+func (p *port) Cancel(n int)                            { p.say(fmt.Sprintf("cancel %d", n)) }
+func (p *port) Refuse(d time.Duration)                  { p.say(fmt.Sprintf("refuse %v", d > 0)) }
+func (p *port) Fail()                                   { p.say("fail") }
+func (p *port) Move()                                   { p.say("move") }
+func (p *port) MessageStats(now time.Time) MessageStats { return p.pulse }
 
 func (p *port) heard() string {
 	p.mu.Lock()
@@ -357,15 +357,15 @@
 	n, _, logs := held(t, entry("s1", wire.Serving))
 	n.slowFrom = 0 // slow messages are not what this is about
 	p, q := up(t, n, "r"), up(t, n, "q")
-	p.pulse = Pulse{Waiting: silence + time.Millisecond}
-	q.pulse = Pulse{Waiting: silence - time.Millisecond}
+	p.pulse = MessageStats{Waiting: silence + time.Millisecond}
+	q.pulse = MessageStats{Waiting: silence - time.Millisecond}
 	n.pulse(time.Now())
 	if strings.Contains(p.heard(), "move") {
 		t.Error("moved at the first sign, which a node that stood still itself sees at every host")
 	}
-	p.pulse = Pulse{}
+	p.pulse = MessageStats{}
 	n.pulse(time.Now())
-	p.pulse = Pulse{Waiting: silence + time.Millisecond}
+	p.pulse = MessageStats{Waiting: silence + time.Millisecond}
 	n.pulse(time.Now())
 	if strings.Contains(p.heard(), "move") {
 		t.Error("moved though the host had answered in between")
@@ -427,7 +427,7 @@
 	}
 	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: 80 * time.Millisecond})
 	w.pings = nil
-	p.pulse = Pulse{Answered: 1, Took: time.Millisecond}
+	p.pulse = MessageStats{Answered: 1, Took: time.Millisecond}
 	now := time.Now()
 	second := func() {
 		for range noteEvery {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -20,18 +20,18 @@
 
 // orders is what holds.
 type orders struct {
-	leaving atomic.Bool // the node drains: it is not ready
-	shutAt  time.Time   // from when on it takes nothing new; zero while it does not drain
-	words   map[brain.ServerID]bool
+	leaving   atomic.Bool // the node drains: it is not ready
+	shutAt    time.Time   // from when on it takes nothing new; zero while it does not drain
+	overrides map[brain.ServerID]bool
 
-	backs map[brain.ServerID]time.Duration // when hosts were called back, by the node's clock
+	returning map[brain.ServerID]time.Duration // when hosts were called back, by the node's clock
 
 	// What holds now, for whoever asks without waiting for the loop.
 	targets, avoided atomic.Int64
 }
 
-// mostWords bounds the hosts of which an operator's word is held.
-const mostWords = 1024
+// maxOverrides bounds the hosts of which an operator's word is held.
+const maxOverrides = 1024
 
 // orderWithin bounds the wait for the loop: whoever gives an order has the answer within half a second.
 const orderWithin = 400 * time.Millisecond
@@ -41,11 +41,11 @@
 	ErrBusy    = errors.New("the node did not take it in in time, ask again")
 	ErrEnded   = errors.New("the node ends")
 	ErrUnknown = errors.New("no host has this id")
-	ErrFull    = fmt.Errorf("words on %d hosts are held, no more can be", mostWords)
+	ErrFull    = fmt.Errorf("words on %d hosts are held, no more can be", maxOverrides)
 )
 
-// Away is how a node drains.
-type Away struct {
+// DrainPlan is how a node drains.
+type DrainPlan struct {
 	By    time.Time     // what stands is sent away by then
 	Shut  time.Time     // from then on nothing new is taken; until then the front may not have noticed
 	After time.Duration // those turned away are told to come again after so long
@@ -53,7 +53,7 @@
 }
 
 // Leave has the node drain. It returns once the loop has taken it in.
-func (n *Node) Leave(a Away) error {
+func (n *Node) Leave(a DrainPlan) error {
 	return n.wait(event{kind: evLeave, away: &a})
 }
 
@@ -155,17 +155,17 @@
 }
 
 func (n *Node) word(id brain.ServerID, drains, known bool, at time.Time) error {
-	m, was := n.members[id], n.words[id]
+	m, was := n.members[id], n.overrides[id]
 	switch {
 	case known && m == nil && !was:
 		return ErrUnknown
-	case drains && !was && len(n.words) >= mostWords:
+	case drains && !was && len(n.overrides) >= maxOverrides:
 		n.log.Warn("words on too many hosts are held: this one is not", zap.String("host", string(id)))
 		return ErrFull
 	case drains:
-		n.words[id] = true
+		n.overrides[id] = true
 	default:
-		delete(n.words, id)
+		delete(n.overrides, id)
 		if !at.IsZero() && (was || !known) {
 			n.called(id, at)
 		}
@@ -180,13 +180,13 @@
 func (n *Node) called(id brain.ServerID, at time.Time) {
 	now := time.Now()
 	n.observeClock(now)
-	for other, back := range n.backs {
+	for other, back := range n.returning {
 		if n.at(now)-back > n.set.WarmWithin {
-			delete(n.backs, other)
+			delete(n.returning, other)
 		}
 	}
-	if len(n.backs) < mostWords { // the word may be one that another process has written down
-		n.backs[id] = max(n.backs[id], n.wall.started(at.UnixMilli(), n.at(now)))
+	if len(n.returning) < maxOverrides { // the word may be one that another process has written down
+		n.returning[id] = max(n.returning[id], n.wall.started(at.UnixMilli(), n.at(now)))
 	}
 }
 
@@ -208,7 +208,7 @@
 
 // worded is the state that holds for a member: the list's, or what an operator says of it.
 func (n *Node) worded(id brain.ServerID, listed brain.ServerState) brain.ServerState {
-	if listed == brain.Live && n.words[id] {
+	if listed == brain.Live && n.overrides[id] {
 		return brain.Draining
 	}
 	return listed
@@ -228,7 +228,7 @@
 		}
 	}
 	for id, m := range n.members {
-		v.Hosts = append(v.Hosts, HostView{ID: id, State: m.state, Word: n.words[id], Open: open[id]})
+		v.Hosts = append(v.Hosts, HostView{ID: id, State: m.state, Word: n.overrides[id], Open: open[id]})
 	}
 	slices.SortFunc(v.Hosts, func(a, b HostView) int { return cmp.Compare(a.ID, b.ID) })
 	return v
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -42,17 +42,17 @@
 		if err := n.word("a", step.out, true, at); err != nil {
 			t.Fatal(err)
 		}
-		if (n.backs["a"] - step.want).Abs() >= time.Millisecond { // a word's time is kept to the millisecond
-			t.Errorf("out %v: called back at %d, want %d", step.out, n.backs["a"], step.want)
+		if (n.returning["a"] - step.want).Abs() >= time.Millisecond { // a word's time is kept to the millisecond
+			t.Errorf("out %v: called back at %d, want %d", step.out, n.returning["a"], step.want)
 		}
 	}
-	if n.words["a"] || n.members["a"].state != brain.Live {
+	if n.overrides["a"] || n.members["a"].state != brain.Live {
 		t.Error("two words out need one back")
 	}
 	if err := n.word("nobody", false, true, at); err != ErrUnknown {
 		t.Errorf("an id that nobody has: %v", err)
 	}
-	if err := n.word("later", true, false, at); err != nil || !n.words["later"] {
+	if err := n.word("later", true, false, at); err != nil || !n.overrides["later"] {
 		t.Errorf("an id that is listed only later: %v", err)
 	}
 	n.list(&wire.Catalog{Revision: 8, Members: []wire.Member{entry("later", wire.Serving)}}, brain.ListChange, false)
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -12,7 +12,7 @@
 
 // request is a client's connection, wanted or open.
 type request struct {
-	port     Port
+	port     ClientConn
 	on       *member
 	attempts int  // sends so far
 	out      bool // the last of them has brought no outcome yet
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -242,8 +242,8 @@
 	}
 }
 
-// shunned is for how long a host is still to get nothing new because another node found it dead.
-func (n *Node) shunned(id brain.ServerID) time.Duration {
+// unreachableFor is for how long a host is still to get nothing new because another node found it dead.
+func (n *Node) unreachableFor(id brain.ServerID) time.Duration {
 	if at, ok := n.dead[string(id)]; ok {
 		return max(n.shunFor()-time.Since(at), 0)
 	}
--- a/internal/rig/knock.go
+++ b/internal/rig/knock.go
@@ -36,7 +36,7 @@
 			if sleep(ctx, spread*time.Duration(c)/time.Duration(clients)) {
 				ctx, cancel := context.WithTimeout(ctx, patience)
 				defer cancel()
-				r.knock(ctx, &out[c], fmt.Sprintf("c%d-%s", c+1, r.nodes[i].name), deadline)
+				r.probe(ctx, &out[c], fmt.Sprintf("c%d-%s", c+1, r.nodes[i].name), deadline)
 			}
 		}()
 	}
@@ -49,7 +49,7 @@
 // knockAgain is the pause of a client whose node is not there, or that was told nothing.
 const knockAgain = 50 * time.Millisecond
 
-func (r *Rig) knock(ctx context.Context, k *Knock, name string, deadline time.Duration) {
+func (r *Rig) probe(ctx context.Context, k *Knock, name string, deadline time.Duration) {
 	class, tenant := r.opt.Classes[0].Name, r.opt.Tenants[0]
 	addr, retry := r.nodes[k.Node].addr, ""
 	for try := 0; ctx.Err() == nil; try++ {
--- a/internal/stand/capacity/capacity.go
+++ b/internal/stand/capacity/capacity.go
@@ -151,11 +151,11 @@
 
 // Capacity is what the host can do now, in cores of speed 1.
 func (h *Host) Capacity() float64 {
-	return h.spec.Cores * h.spec.Speed * (1 - h.stolen) / h.slow * h.warmth()
+	return h.spec.Cores * h.spec.Speed * (1 - h.stolen) / h.slow * h.slowStartFactor()
 }
 
-// warmth is the share of its capacity that a host has reached since its start.
-func (h *Host) warmth() float64 {
+// slowStartFactor is the share of its capacity that a host has reached since its start.
+func (h *Host) slowStartFactor() float64 {
 	since := h.now - h.began
 	if !h.cold || h.spec.Cold <= 0 || h.spec.Cold >= 1 || since >= h.spec.Warm {
 		return 1
@@ -360,7 +360,7 @@
 
 // falls says whether a cold host has been sent too much for too long by now.
 func (h *Host) falls() bool {
-	if h.spec.FallIn <= 0 || !h.cold || h.warmth() >= 1 || h.pressure() <= h.spec.Fall {
+	if h.spec.FallIn <= 0 || !h.cold || h.slowStartFactor() >= 1 || h.pressure() <= h.spec.Fall {
 		h.over = 0
 		return false
 	}
