--- a/internal/lifecycle/coldstart.go
+++ b/internal/lifecycle/coldstart.go
@@ -23,6 +23,7 @@
 	"onyxstream/internal/coldstart"
 	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/node"
 	"onyxstream/internal/wire"
@@ -158,7 +159,7 @@
 			return
 		case <-fresh:
 		}
-		if !pause(ctx, keepEvery) {
+		if !ctxtime.Sleep(ctx, keepEvery) {
 			return
 		}
 	}
@@ -197,7 +198,7 @@
 			wait = pullFirst
 		}
 		peer.Close()
-		if !pause(ctx, wait/2+time.Duration(rng.Float64()*float64(wait))) {
+		if !ctxtime.Sleep(ctx, wait/2+time.Duration(rng.Float64()*float64(wait))) {
 			return nil
 		}
 		wait = min(2*wait, pullMost)
@@ -239,15 +240,3 @@
 	}
 	return n.PassedOn(passed)
 }
-
-// pause waits, and reports false where ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/rig/coldstart_test.go
+++ b/internal/rig/coldstart_test.go
@@ -13,6 +13,7 @@
 
 	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
 )
 
@@ -131,7 +132,7 @@
 	defer cancel()
 	if down > 0 {
 		go func() {
-			sleep(ctx, down)
+			ctxtime.Sleep(ctx, down)
 			r.Discovery.Answer(stand.Well)
 		}()
 	}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
 	"onyxstream/internal/wire"
 )
@@ -37,7 +38,7 @@
 	begin := time.Now()
 	r.wg.Go(func() {
 		for _, x := range line {
-			if !sleep(ctx, time.Until(begin.Add(x.At.D()))) {
+			if !ctxtime.Sleep(ctx, time.Until(begin.Add(x.At.D()))) {
 				return
 			}
 			end, err := r.Begin(x)
@@ -46,7 +47,7 @@
 			}
 			if x.For > 0 {
 				r.wg.Go(func() {
-					if sleep(ctx, time.Until(begin.Add(x.At.D()+x.For.D()))) {
+					if ctxtime.Sleep(ctx, time.Until(begin.Add(x.At.D()+x.For.D()))) {
 						if err := end(); err != nil {
 							r.fail(err)
 						}
@@ -75,17 +76,6 @@
 	return r.died()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Begin starts a fault now, on all that it names in one instant, and returns what ends it. At and For mean nothing here.
 // The error says which could not be struck.
 func (r *Rig) Begin(x FaultSpec) (end func() error, err error) {
--- a/internal/rig/knock.go
+++ b/internal/rig/knock.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
 )
 
@@ -33,7 +34,7 @@
 		go func() {
 			defer func() { done <- struct{}{} }()
 			out[c].Node = i
-			if sleep(ctx, spread*time.Duration(c)/time.Duration(clients)) {
+			if ctxtime.Sleep(ctx, spread*time.Duration(c)/time.Duration(clients)) {
 				ctx, cancel := context.WithTimeout(ctx, patience)
 				defer cancel()
 				r.probe(ctx, &out[c], fmt.Sprintf("c%d-%s", c+1, r.nodes[i].name), deadline)
@@ -55,7 +56,7 @@
 	for try := 0; ctx.Err() == nil; try++ {
 		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 		if err != nil {
-			sleep(ctx, knockAgain)
+			ctxtime.Sleep(ctx, knockAgain)
 			continue
 		}
 		began := r.Clock.Now()
@@ -76,7 +77,7 @@
 		case err == nil && word == "UP":
 			k.Served = r.Clock.Now()
 			// It stays for a moment and leaves by itself, as a client does that has what it came for.
-			sleep(ctx, deadline)
+			ctxtime.Sleep(ctx, deadline)
 			_ = c.Close()
 			return
 		case err == nil && word == "BUSY":
@@ -88,14 +89,14 @@
 				k.NoAdvice++
 			}
 			_ = c.Close()
-			sleep(ctx, wait)
+			ctxtime.Sleep(ctx, wait)
 		default:
 			k.Failed++
 			if ctx.Err() == nil {
 				r.Ledger.Add(stand.Record{Who: name, What: stand.Failed, Note: k.Last})
 			}
 			_ = c.Close()
-			sleep(ctx, knockAgain)
+			ctxtime.Sleep(ctx, knockAgain)
 		}
 		retry = ",r=1"
 	}
--- a/internal/rig/rolling.go
+++ b/internal/rig/rolling.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"onyxstream/internal/conf"
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
 )
 
@@ -78,7 +79,7 @@
 	order := draw.Perm(len(r.nodes))
 	pause := x.Length * 2 / 3 / time.Duration((len(order)+wave-1)/wave)
 	wg.Go(func() {
-		for at := 0; at < len(order) && sleep(ctx, pause); at += wave {
+		for at := 0; at < len(order) && ctxtime.Sleep(ctx, pause); at += wave {
 			for _, i := range order[at:min(at+wave, len(order))] {
 				wg.Go(func() {
 					if err := r.replace(ctx, d, i, x.Kill); err != nil {
@@ -90,7 +91,7 @@
 	})
 	begin := time.Now()
 	for at := time.Duration(0); at < x.Length; at += time.Duration(draw.ExpFloat64() / x.Rate * float64(time.Second)) {
-		if !sleep(ctx, time.Until(begin.Add(at))) {
+		if !ctxtime.Sleep(ctx, time.Until(begin.Add(at))) {
 			break
 		}
 		// Some wait for less than a host's hang lasts, some for longer than a node does that is told to stop.
@@ -143,7 +144,7 @@
 	ready, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
 	for stand.Ping(ready, p.addr, time.Second) != nil {
-		if !sleep(ready, 20*time.Millisecond) {
+		if !ctxtime.Sleep(ready, 20*time.Millisecond) {
 			return fmt.Errorf("%s does not come back: %w", p.name, ready.Err())
 		}
 	}
@@ -168,7 +169,7 @@
 	}
 	line += "\r\n"
 	if a.pieces {
-		if _, err := io.WriteString(c, line[:len(line)/2]); err != nil || !sleep(ctx, a.stay/10) {
+		if _, err := io.WriteString(c, line[:len(line)/2]); err != nil || !ctxtime.Sleep(ctx, a.stay/10) {
 			return
 		}
 		line = line[len(line)/2:]
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/rig"
 	"onyxstream/internal/stand"
 )
@@ -155,15 +156,15 @@
 	case floodsMid:
 		say(line + strings.Repeat("M of a client that goes\r\n", floodSize/25))
 		c.note(stand.Asked, c.patience.String())
-		sleep(ctx, c.pause)
+		ctxtime.Sleep(ctx, c.pause)
 		c.leave()
 		return false
 	case rests:
-		if !say("PING\r\n") || !c.hearsPong() || !sleep(ctx, c.pause) || c.ended() {
+		if !say("PING\r\n") || !c.hearsPong() || !ctxtime.Sleep(ctx, c.pause) || c.ended() {
 			return false
 		}
 	case inPieces:
-		if !say(line[:len(line)/2]) || !sleep(ctx, c.pause/4) {
+		if !say(line[:len(line)/2]) || !ctxtime.Sleep(ctx, c.pause/4) {
 			return false
 		}
 		line = line[len(line)/2:]
@@ -173,7 +174,7 @@
 	}
 	c.note(stand.Asked, c.patience.String())
 	if c.manner == leaves || c.manner == resets {
-		sleep(ctx, c.pause)
+		ctxtime.Sleep(ctx, c.pause)
 		c.leave()
 		return false
 	}
@@ -241,7 +242,7 @@
 			c.note(stand.Moved, "")
 			return false
 		case err == nil:
-			sleep(ctx, lineEvery)
+			ctxtime.Sleep(ctx, lineEvery)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.note(stand.Broken, err.Error()+text)
 			return !errors.Is(err, io.EOF)
@@ -250,15 +251,3 @@
 	c.note(stand.Left, "")
 	return false
 }
-
-// sleep waits; false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"onyxstream/internal/conf"
+	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/invariant"
 	"onyxstream/internal/rig"
 	"onyxstream/internal/stand"
@@ -146,7 +147,7 @@
 	var files sync.Mutex // a node that starts must not meet a damaged file; nodes that restart are others, by the plan
 	for _, l := range x.plan.Reloads {
 		x.wg.Go(func() {
-			if !sleep(x.ctx, l.At) {
+			if !ctxtime.Sleep(x.ctx, l.At) {
 				return
 			}
 			path := x.rig.NodeConfig(l.Node)
@@ -170,9 +171,9 @@
 			}
 			for range 1 + l.Again {
 				x.rig.Reload(l.Node)
-				sleep(x.ctx, brokenFor/4)
+				ctxtime.Sleep(x.ctx, brokenFor/4)
 			}
-			sleep(x.ctx, brokenFor)
+			ctxtime.Sleep(x.ctx, brokenFor)
 		})
 	}
 }
@@ -181,7 +182,7 @@
 func (x *run) crowds() {
 	for _, c := range x.plan.Crowds {
 		x.wg.Go(func() {
-			if !sleep(x.ctx, c.At) {
+			if !ctxtime.Sleep(x.ctx, c.At) {
 				return
 			}
 			var all []net.Conn
@@ -192,7 +193,7 @@
 				}
 				all = append(all, k)
 			}
-			sleep(x.ctx, c.For)
+			ctxtime.Sleep(x.ctx, c.For)
 			for _, k := range all {
 				_ = k.Close()
 			}
@@ -235,7 +236,7 @@
 	keys := func() string { return fmt.Sprint("k", connections.Add(1)) }
 	begin := time.Now()
 	for at, n := time.Duration(0), 0; at < x.plan.Length; at += time.Duration(draw.ExpFloat64() / rate * float64(time.Second)) {
-		if !sleep(x.ctx, time.Until(begin.Add(at))) {
+		if !ctxtime.Sleep(x.ctx, time.Until(begin.Add(at))) {
 			return
 		}
 		n++
