--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"onyxstream/internal/ctxtime"
 )
 
 // Config is one run.
@@ -119,14 +121,7 @@
 
 // sleep waits until a time of the run; false where ctx ends before.
 func (e *engine) sleep(ctx context.Context, until time.Duration) bool {
-	t := time.NewTimer(until - e.now())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return ctxtime.Sleep(ctx, until-e.now())
 }
 
 // pace sends every request when it is meant, whatever became of the others.
