--- a/internal/lifecycle/folder_test.go
+++ b/internal/lifecycle/folder_test.go
@@ -57,6 +57,32 @@
 	})
 }
 
+// A folder that can't be used at the start is used once it can be, and orders given before are written then.
+func TestOrder_FolderMissingAtStart_IsWrittenOnceItIsThere(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "later")
+	o, n := stuckIn(t, dir)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.Run(ctx) }()
+	if o.shared.store() != nil {
+		t.Fatal("a folder that is not there is used")
+	}
+	if err := o.HostOut("h1"); err != nil {
+		t.Fatal(err)
+	}
+	go o.shared.follow(ctx)
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the order is written", func() bool {
+		if o.shared.store() == nil {
+			return false
+		}
+		d, _, err := o.shared.store().Load()
+		return err == nil && len(d.Words) == 1 && d.Words[0].Out
+	})
+}
+
 // After a write that failed, the orders of other processes are taken in: the number that the failed change would have had
 // is that of another one.
 func TestOrder_FolderFails_OthersOrdersAreTaken(t *testing.T) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,7 @@
 	{Name: "chat", Deadline: 2 * time.Second},
 	{Name: "feed", Deadline: 1200 * time.Millisecond, Semantics: "keyed", Window: 800 * time.Millisecond},
 	{Name: "order", Deadline: 1500 * time.Millisecond, Semantics: "unsafe"},
+	{Name: "stream", Deadline: 4800 * time.Millisecond}, // waits for longer than a node that ends may last
 }
 
 // fleet is what a plan is played on.
