Clients with hardly any time left no longer pace a node's set-ups

Cause: Brain.settled handed each time-out to observeSetup, however short: at a node that sees little two in a row at different servers are an overload, and it sends one in 3 s. Change: a time-out counts where the client left the shortest set-up aim or more when it came.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -376,7 +376,10 @@
 	case e.Outcome == NoConnect:
 		b.recordFailure(s, 4*aim)
 	case e.Outcome == NoAnswer:
-		if b.observeSetup(r, a, e.Took, true); e.Took >= aim {
+		if r.Left >= b.minSetupAim { // no set-up is wanted sooner: a client that leaves less time tells nothing
+			b.observeSetup(r, a, e.Took, true)
+		}
+		if e.Took >= aim {
 			b.recordFailure(s, 4*aim)
 		}
 	case e.Outcome == Errored || e.Outcome == Full || e.Outcome == Reset:
