A client that ends as its connection comes up has what it sent passed on

Change: leftBeforeUp looks under the mutex, and awaitUp reads on. Measured: its test and internal/driver pass.

--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -113,3 +113,26 @@
 		}
 	}
 }
+
+// A client that has sent much and ended its sending as its connection comes up has all of it passed on: the end stands
+// behind what lies unread.
+func TestMidFlowClient_EndsAsItComesUp_LinesArePassedOn(t *testing.T) {
+	r := newRig(t, zap.NewNop(), false)
+	client, server := pair(t)
+	_, host := pair(t)
+	c := r.d.newConn(server, time.Now())
+	if _, err := io.WriteString(client, strings.Repeat("M of a client\r\n", 1000)); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.CloseWrite()
+	waitFor(t, "its end is here", func() bool { return hungUp(server) != nil })
+	if !c.raise(host) {
+		t.Fatal("it does not come up")
+	}
+	if c.leftBeforeUp(hungUp(server)) || c.isGone() || c.leftFIN.Load() {
+		t.Error("its end counts before its lines are read")
+	}
+	if !c.awaitUp() {
+		t.Error("its lines are not read on")
+	}
+}
--- a/internal/driver/leaving.go
+++ b/internal/driver/leaving.go
@@ -88,8 +88,7 @@
 		case <-c.ended:
 			return false
 		case <-ticks.C:
-			if err := hungUp(c.client); err != nil {
-				c.left(err)
+			if err := hungUp(c.client); err != nil && c.leftBeforeUp(err) {
 				return false
 			}
 			if pending(c.client) > maxEarly && c.misspoke() {
@@ -99,6 +98,19 @@
 	}
 }
 
+// leftBeforeUp notes that a client has ended its side before its connection is up; false where that is up by now: whatever
+// lies unread is read on then, and the end behind it.
+func (c *conn) leftBeforeUp(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host != nil {
+		return false
+	}
+	c.half.Store(errors.Is(err, io.EOF))
+	c.leave()
+	return true
+}
+
 // maxEarly bounds what may lie unread of a client that is not up, beside what is buffered. An end behind more than the
 // system's own buffer holds could not be seen.
 const maxEarly = 32 << 10
@@ -179,13 +191,11 @@
 	if errors.Is(err, net.ErrClosed) { // this node's own doing
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.host == nil {
-		c.half.Store(errors.Is(err, io.EOF))
-		c.leave()
+	if c.leftBeforeUp(err) {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if isReset(err) {
 		c.leftRST.Store(true)
 		_ = c.host.SetReadDeadline(past)
