--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,7 +70,7 @@
 	d := &drawer{rand.New(rand.NewPCG(seed, 0x736f616b)), shape, &plan, map[string]time.Duration{}, 0}
 	plan.Mode = []string{"pass", "proxy"}[d.IntN(2)]
 	plan.Push = d.IntN(2) == 0
-	moments := []func(at time.Duration){d.stop, d.stop, d.stopAmidHangs, d.stopAmidHangs, d.kill, d.holdUp, d.reload, d.reload, d.discovery, d.discovery, d.listLink,
+	moments := []func(at time.Duration){d.stop, d.stop, d.stopAmidHangs, d.kill, d.holdUp, d.reload, d.reload, d.discovery, d.discovery, d.listLink,
 		d.hang, d.release, d.release, d.die, d.hostLink, d.hostLink, d.crowd}
 	for at := between / 2; at < shape.Length; at += time.Duration((0.5 + d.Float64()) * float64(between)) {
 		for range 2 + d.IntN(2) {
@@ -114,14 +114,10 @@
 	}
 }
 
-// stopAmidHangs has a third of the hosts, or all of them, hang through the whole shutdown of several nodes.
+// stopAmidHangs has a third of the hosts hang through the whole shutdown of several nodes.
 func (d *drawer) stopAmidHangs(at time.Duration) {
 	const shutdown = 4 * time.Second
-	hosts := d.shape.Hosts / 3
-	if d.IntN(2) == 0 {
-		hosts = d.shape.Hosts
-	}
-	for range hosts {
+	for range d.shape.Hosts / 3 {
 		if _, name, ok := d.free("h", d.shape.Hosts, at, at+shutdown); ok {
 			d.fault(at, shutdown, "hang", name, 0, 0)
 		}
