--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -22,13 +22,14 @@
 // shared is what the processes of a node have in common, over the folder that they share. Without one, or while it
 // can't be used, a word holds in the process that was told.
 type shared struct {
-	cfg    Config
-	node   *node.Node
-	driver *driver.Driver
-	log    *zap.Logger
-	orders *control.Server
-	folder string                         // "" where nothing is shared
-	opened atomic.Pointer[handover.Store] // nil while the folder can't be used
+	cfg      Config
+	node     *node.Node
+	driver   *driver.Driver
+	log      *zap.Logger
+	orders   *control.Server
+	folder   string                         // "" where nothing is shared
+	opened   atomic.Pointer[handover.Store] // nil while the folder can't be used
+	unopened bool                           // it could not be opened so far; open's own
 
 	mu     sync.Mutex  // an order and what others were told are taken in one after the other
 	seen   uint64      // the document's changes that are in force here
@@ -64,9 +65,14 @@
 		return
 	}
 	store, err := handover.Open(s.folder, s.cfg.Name)
-	if s.note(err); err == nil {
+	if err == nil {
 		s.opened.Store(store)
+		return
+	}
+	if !s.unopened { // once: it is tried again and again
+		s.log.Error("TMPDIR can't be used: words of operators end with this process until it can", zap.Error(err))
 	}
+	s.unopened = true
 }
 
 // begin takes in what the processes before were told.
