The test of a line that lay unread waits until all threads of the node stand still

Its run took 4.55 s in all, so the refusal came 4.5 s after the line: the node had read it before SIGSTOP had stopped the thread. Had it lain for 1.8 s with the whole time still told, the run had taken 6.3 s. Change: the test goes on once each thread is stopped, by /proc; what it wants is as it was.

--- a/cmd/onyxstream/answers_test.go
+++ b/cmd/onyxstream/answers_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -42,6 +44,7 @@
 	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	eventually(t, "all of its threads stand still", func() bool { return p.standsStill(t) })
 	k := p.dial(t)
 	const patience, lay = 4500, 1800 // ms
 	k.say(fmt.Sprintf("OPEN a key c=chat,t=acme,d=%d\r\n", patience))
@@ -65,6 +68,23 @@
 	}
 }
 
+// standsStill reports whether a signal has stopped every thread of the node: each does so on its own.
+func (p *running) standsStill(t testing.TB) bool {
+	t.Helper()
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(tasks) == 0 {
+		t.Fatalf("no threads are found: %v", err)
+	}
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		_, behind, _ := strings.Cut(string(text), ") ") // the state stands behind the name
+		if err != nil || !strings.HasPrefix(behind, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // Where room is made for those who come, clients that have had their last word go first; one in the middle of its first
 // line that has to go is told so.
 func TestACrowdDoesNotCutAFirstLineShort(t *testing.T) {
