--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -216,9 +216,11 @@
 // Where packets pass through, a node that ends must not break what is up by its own hand, and what is not up yet is
 // answered: a reset is no answer.
 func TestTheEndLeavesWhatPassesThrough(t *testing.T) {
+	sentOn := make(chan struct{})
 	r := newRig(t, zap.NewNop(), true, host(t, func(c *net.TCPConn) {
 		in := bufio.NewReader(c)
 		if line, _ := in.ReadString('\n'); strings.Contains(line, "wait") {
+			close(sentOn)
 			_, _ = io.Copy(io.Discard, in)
 			return
 		}
@@ -237,6 +239,7 @@
 	}
 	_, waits := r.ask(t, "OPEN wait key c=chat,d=5000")
 	waitFor(t, "the second is owed its answer", func() bool { return r.n.Owed() == 1 })
+	<-sentOn // until then it may be refused: it was sent nowhere
 	r.d.End(true)
 	if all, err := io.ReadAll(waits); string(all) != wire.Err || err != nil {
 		t.Errorf("one that is owed its answer heard %q, error %v", all, err)
