--- a/brain/table_test.go
+++ b/brain/table_test.go
@@ -214,3 +214,19 @@
 		}
 	}
 }
+
+// A server that drains gets nothing more a hold-up before the end of its grace, whatever the grace is.
+func TestDrainGrace_CoversAHoldUp(t *testing.T) {
+	for _, grace := range []time.Duration{100 * ms, 400 * ms, 2 * time.Second} {
+		s := testSettings()
+		s.DrainGrace = grace
+		b := started(t, s, 4)
+		drained := fleetOf(4)[0]
+		drained.State = Draining
+		b.Handle(time.Second, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{drained}})
+		b.Handle(time.Second+max(grace-MaxHoldUp, 0), Timer{Token: sweepToken})
+		if got := b.servers[drained.ID]; got != nil && got.state != inactive {
+			t.Errorf("a grace of %v: it is in state %d, %v before the end", grace, got.state, MaxHoldUp)
+		}
+	}
+}
