Failing test: nodes started in one instant call the list service in bursts

Change: a test of forty nodes in virtual time; it fails and is listed. No code changed. Measured: the new test fails, over 6 of 40 nodes within 5 ms; the rest of the suite was not run for this commit.

--- /dev/null
+++ b/internal/node/startspread_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/coldstart"
+	"onyxstream/internal/settings"
+	"onyxstream/internal/wire"
+)
+
+// callTimes is an outside that notes when discovery is called for the first time.
+type callTimes struct {
+	mu    *sync.Mutex
+	at    *[]time.Duration
+	begun time.Time
+}
+
+func (c callTimes) Watch(call Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call.N == 1 {
+		*c.at = append(*c.at, time.Since(c.begun))
+	}
+}
+
+func (callTimes) Ping(brain.ServerID, string) bool { return true }
+
+// Calls to the list service that nodes started in one instant spread over a time are made when they are due. They were made
+// at the next turn of each node's ticker, and all tickers had begun together: what was drawn apart came in bursts.
+func TestStart_NodesOfOneInstant_CallApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 40
+		var mu sync.Mutex
+		var at []time.Duration
+		var ended sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		out := callTimes{&mu, &at, time.Now()}
+		for i := range nodes {
+			set := settings.Settings{Settings: brain.Settings{AskList: true, AskWithin: 3 * time.Second, GroupSize: nodes, Index: i}}
+			n := New(set, wire.Catalog{}, "disco", out, zap.NewNop())
+			n.Cold(coldstart.New(coldstart.Config{Nodes: nodes, Index: i, AskWithin: set.AskWithin, Service: "s"},
+				rand.New(rand.NewPCG(7, uint64(i))), n.now(), coldstart.Nowhere, coldstart.Offer{}), "s")
+			ended.Go(func() { _ = n.Run(ctx) })
+		}
+		time.Sleep(3 * time.Second)
+		cancel()
+		ended.Wait()
+		if len(at) != nodes {
+			t.Fatalf("%d of %d nodes have called", len(at), nodes)
+		}
+		slices.Sort(at)
+		const together, most = 5 * time.Millisecond, 6
+		for i := range at {
+			if i >= most && at[i]-at[i-most] < together {
+				t.Fatalf("over %d of %d nodes call within %v: %v", most, nodes, together, at)
+			}
+		}
+	})
+}
