A planned call to the list service is made when it is due, not at a shared ticker's turn

Cause: node.Run asked Start.Due at its ticker of 0.25 s alone (members.go, pulse). Change: the loop's timer also waits for the planned call (Start.Wait). The rest of the suite was not run for this commit.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -128,6 +128,17 @@
 	return true
 }
 
+// noCall stands for a call that is not planned.
+const noCall = time.Hour
+
+// Wait is the time until Due is to be asked again at the latest.
+func (s *Start) Wait(now time.Duration) time.Duration {
+	if !s.plan {
+		return noCall
+	}
+	return max(s.due-now, 0)
+}
+
 // span is the time over which the nodes that would call the service spread their calls.
 func (s *Start) span(now time.Duration) time.Duration {
 	if s.rest > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 		n.watch()
 	}
 	for {
-		timer.Reset(min(n.timers.wait(n.now()), n.endsIn(time.Now())))
+		timer.Reset(min(n.timers.wait(n.now()), n.endsIn(time.Now()), n.callIn()))
 		select {
 		case <-ctx.Done():
 			return nil
@@ -165,6 +165,9 @@
 		for token, due := n.timers.next(now); due; token, due = n.timers.next(now) {
 			n.guard(func() { n.decide(brain.Timer{Token: token}) })
 		}
+		if n.callIn() == 0 {
+			n.guard(n.ask)
+		}
 		if n.endsIn(time.Now()) == 0 {
 			n.guard(n.conclude)
 		}
--- a/internal/node/starting.go
+++ b/internal/node/starting.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// callIn is the time until the next call to the service that is planned; an hour where none is. The calls of nodes that began
+// in one instant are drawn apart, and would come together at the next turn of tickers that began together.
+func (n *Node) callIn() time.Duration {
+	if n.start == nil {
+		return time.Hour
+	}
+	return n.start.Wait(n.now())
+}
+
 // ask calls the service where its time has come.
 func (n *Node) ask() {
 	if n.start.Due(n.now()) {
