Failing tests: a log that nobody reads holds up the node, and one whose reader is gone ends it

Cause: found by reading lifecycle.logger: every line is written to standard error by whoever has it, the loop included. Where that is a pipe and its reader stands still, write(2) blocks and no client of the node is answered; where the reader is gone, the Go runtime ends the process by SIGPIPE, as it does for descriptors 1 and 2. No code changed. The rest of the suite was not run for this commit.

--- a/cmd/onyxstream/fakes_test.go
+++ b/cmd/onyxstream/fakes_test.go
@@ -183,6 +183,7 @@
 	// memoryMB is the node's memory limit, 0 for 256 MB.
 	memoryMB int
 	inherit  *os.File // the clients' listening socket, as descriptor 3
+	stderr   *os.File // where its log goes, nil for the test's own
 }
 
 const settingsText = `{"index":0,"groupSize":1,"zone":0,"zones":["a"],"registryMode":"ask",
@@ -248,6 +249,9 @@
 		p.cmd.Env = append(p.cmd.Env, "PROXY_ACCEPT_FD=3")
 	}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if o.stderr != nil {
+		p.cmd.Stdout, p.cmd.Stderr = o.stderr, o.stderr
+	}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
