The log is written by a goroutine of its own: one that nobody reads holds up nobody

Cause: lifecycle.logger and the agent wrote each line to standard error where it arose, under one lock; a pipe whose reader stands blocked the loop, and SIGPIPE of one whose reader is gone ended the process. SIGPIPE is ignored by node and agent. One console core in place of three.

--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -11,11 +11,11 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"onyxstream/internal/agent"
 	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
+	"onyxstream/internal/logging"
 )
 
 // agentSocket is where the command line asks unless told otherwise.
@@ -36,9 +36,9 @@
 			if _, err := conf.Read(path, cfg); err != nil {
 				return err
 			}
-			enc := zap.NewProductionEncoderConfig()
-			enc.EncodeTime = zapcore.ISO8601TimeEncoder
-			log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), zapcore.InfoLevel))
+			signal.Ignore(syscall.SIGPIPE) // a log whose reader is gone costs its lines alone
+			log := zap.New(logging.NewCore(logging.New(os.Stderr), zap.InfoLevel))
+			defer func() { _ = log.Sync() }()
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 			a, err := agent.New(*cfg, log)
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -20,6 +20,7 @@
 	"onyxstream/internal/coldstart"
 	"onyxstream/internal/control"
 	"onyxstream/internal/driver"
+	"onyxstream/internal/logging"
 	"onyxstream/internal/management"
 	"onyxstream/internal/node"
 )
@@ -51,6 +52,8 @@
 	// And so does a SIGTERM: a node that is told to stop while it starts ends like any other, once it has started.
 	stop, cancelStop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancelStop()
+	// A log whose reader is gone must cost no more than its lines; a write to it would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := Load()
 	if err != nil {
 		return err
@@ -232,17 +235,13 @@
 		Classes: cfg.Settings.ClassNames, Others: others}, log)
 }
 
-// logger writes lines to standard error. Of one message only the first few of a second and then every
+// logger writes lines to standard error, and waits for none of them. Of one message only the first few of a second and then every
 // thousandth get through: trouble comes in thousands, and the log must not become trouble of its own.
 func logger(name string) *zap.Logger {
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	to := func(level zapcore.Level) zapcore.Core {
-		return zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), level)
-	}
+	out := logging.New(os.Stderr)
 	if os.Getenv("PROXY_DEBUG") != "" { // to follow each connection, none may be left out
-		return zap.New(to(zap.DebugLevel)).With(zap.String("node", name))
+		return zap.New(logging.NewCore(out, zap.DebugLevel)).With(zap.String("node", name))
 	}
-	core := to(zap.InfoLevel)
+	core := logging.NewCore(out, zap.InfoLevel)
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, 5, 1000)).With(zap.String("node", name))
 }
--- /dev/null
+++ b/internal/logging/core.go
@@ -0,0 +1,13 @@
+package logging
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewCore returns a zap core for lines that people read, with times as ISO 8601.
+func NewCore(out zapcore.WriteSyncer, level zapcore.Level) zapcore.Core {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), out, level)
+}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -14,6 +14,7 @@
 	"onyxstream/brain"
 	"onyxstream/internal/driver"
 	"onyxstream/internal/lifecycle"
+	"onyxstream/internal/logging"
 	"onyxstream/internal/node"
 )
 
@@ -36,9 +37,7 @@
 // RunHollow runs n hollow nodes, each with the configuration given but for its place among them, until the context ends
 // or the commands do. It writes the log lines of a real node to log.
 func RunHollow(ctx context.Context, cfg lifecycle.Config, n int, commands io.Reader, log io.Writer) error {
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	logger := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(zapcore.AddSync(log)), zap.DebugLevel))
+	logger := zap.New(logging.NewCore(zapcore.Lock(zapcore.AddSync(log)), zap.DebugLevel))
 	nodes := make([]*hollow, n)
 	for i := range nodes {
 		nodes[i] = startHollow(ctx, cfg, i, n, logger)
