A failed accept at a control listener is made again; it no longer ends the process

Cause: control.Serve and agent.serve gave their listeners to http.Server as they are. The clients' and the operators' listeners had loops of their own already. Measured: internal/control 3 of 3 under the race detector, internal/agent and internal/lifecycle passed.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -56,7 +56,7 @@
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headFor, ReadTimeout: bodyFor, MaxHeaderBytes: 16 << 10}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		if err := srv.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(control.RetryAccept(l.Listener, a.log)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -131,7 +131,7 @@
 			MaxHeaderBytes: 16 << 10, ErrorLog: zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 			BaseContext: func(net.Listener) context.Context { return ctx }}
 		g.Go(func() error {
-			if err := srv.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := srv.Serve(RetryAccept(l.Listener, s.log)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
