Reads and writes that fail for want of memory are made again: no answer is lost by them

Cause: send(2) and recv(2) fail with ENOBUFS or ENOMEM for a moment where the system lacks memory, with the connection whole. closing.finish dropped the answer with the failed write; conn.readFirst, conn.look and conn.upward took the error for a client that has left, and ended without an answer; the relay reset both sides. The line to a host is not: each try follows a look of its own, so the attempt counts as never made and blames no host (isLocal up to the last byte). Tried first: the line's write made again like the others; it could have begun up to a second behind its last look, past a drain's grace. Not committed.

--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -53,7 +53,7 @@
 // Outcome puts the error in the module's terms.
 func (e *AttemptError) Outcome() brain.Outcome {
 	switch {
-	case e.Stage == Asking, e.Stage < Awaiting && errors.Is(e.Err, errWithdrawn), e.Stage == Dialing && isLocal(e.Err):
+	case e.Stage == Asking, e.Stage < Awaiting && errors.Is(e.Err, errWithdrawn), e.Stage < Awaiting && isLocal(e.Err):
 		return brain.NeverPassed // not the host's fault, and it never had the last byte
 	case errors.Is(e.Err, errWithdrawn):
 		return brain.Cancelled
@@ -71,10 +71,11 @@
 	return brain.Reset
 }
 
-// localErrors are those of a dial that this machine could not make: it lacks descriptors, memory or ports for a moment.
+// localErrors are those of a dial, or of the line's write, that this machine could not make: it lacks descriptors, memory or
+// ports for a moment.
 var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
 
-// isLocal reports whether a dial failed for want of something on this machine: that says nothing of the host.
+// isLocal reports whether a dial or a write failed for want of something on this machine: that says nothing of the host.
 func isLocal(err error) bool {
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
@@ -118,7 +119,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	began := time.Now()
 	line := o.Forward(by.Sub(began))
-	if n, err := host.Write(line); n < len(line) {
+	if n, err := host.Write(line); n < len(line) { // not made again here: each try follows a look of its own
 		return fail(Writing, err)
 	}
 	p.wrote(began)
@@ -141,7 +142,7 @@
 			}
 			return fail(Answering, errHost)
 		}
-		n, err := host.Read(in.Space())
+		n, err := readSome(host, in.Space())
 		in.Fed(n)
 		if n == 0 && err != nil {
 			if err == io.EOF {
--- a/internal/driver/closing.go
+++ b/internal/driver/closing.go
@@ -25,7 +25,7 @@
 // finish gives the client a line as its last word and ends the connection by FIN.
 func (c *conn) finish(line string) {
 	_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
-	_, _ = io.WriteString(c.client, line)
+	_, _ = writeAll(c.client, []byte(line))
 	c.linger()
 }
 
@@ -40,7 +40,7 @@
 	buf := wire.GetBuffer()
 	defer buf.Free()
 	for read := 0; read < mostLinger; {
-		n, err := c.client.Read(buf[:])
+		n, err := readSome(c.client, buf[:])
 		if read += n; err != nil {
 			return
 		}
@@ -51,7 +51,7 @@
 func closeWithMessage(client *net.TCPConn, line string) {
 	_ = client.SetWriteDeadline(time.Now().Add(turn))
 	if line != "" {
-		_, _ = io.WriteString(client, line)
+		_, _ = writeAll(client, []byte(line))
 	}
 	_ = client.CloseWrite()
 	buf := wire.GetBuffer()
@@ -80,11 +80,14 @@
 
 // readNow is one read that waits for nothing: n is 0 without an error where nothing has come.
 func readNow(fd uintptr, into []byte) (n int, err error) {
-	for {
+	for retries := 0; ; {
 		n, err = unix.Read(int(fd), into)
 		switch {
 		case err == unix.EINTR:
 			continue
+		case lacksMemory(err) && retries < retriesAtOnce:
+			retries++
+			continue
 		case err == unix.EAGAIN:
 			return 0, nil
 		case err != nil:
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -4,10 +4,10 @@
 	"container/list"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -261,7 +261,7 @@
 			if c.d.node.Leaving() { // not ready: the front is to deal it no one
 				pong = wire.Busy(0)
 			}
-			if _, err := io.WriteString(c.client, pong); err != nil || !c.d.asked(c) {
+			if _, err := writeAll(c.client, []byte(pong)); err != nil || !c.d.asked(c) {
 				return false
 			}
 			late = false
@@ -303,13 +303,22 @@
 	return false
 }
 
-// readFirst waits for more of the first line. A read and the word that something was read are one step under mu: whoever
-// closes the connection meanwhile, see stopHearing, either finds the bytes itself or knows of them.
+// readFirst waits for more of the first line.
 func (c *conn) readFirst(into []byte) (n int, err error) {
 	raw, err := c.client.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
+	err = retrying(func() error {
+		n, err = c.readNoted(raw, into)
+		return err
+	})
+	return n, err
+}
+
+// readNoted waits for bytes. A read and the word that something was read are one step under mu: whoever closes the
+// connection meanwhile, see stopHearing, either finds the bytes itself or knows of them.
+func (c *conn) readNoted(raw syscall.RawConn, into []byte) (n int, err error) {
 	waited := raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -107,9 +107,13 @@
 		{syscall.ENETUNREACH, brain.NoConnect},
 		{syscall.ETIMEDOUT, brain.NoConnect},
 	} {
-		failed := &AttemptError{Dialing, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", c.errno)}}
-		if got := failed.Outcome(); got != c.want {
-			t.Errorf("%v: outcome %v, want %v", failed, got, c.want)
+		for _, failed := range []*AttemptError{
+			{Dialing, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", c.errno)}},
+			{Writing, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.errno)}},
+		} {
+			if got := failed.Outcome(); got != c.want {
+				t.Errorf("%v: outcome %v, want %v", failed, got, c.want)
+			}
 		}
 	}
 }
--- a/internal/driver/leaving.go
+++ b/internal/driver/leaving.go
@@ -24,10 +24,11 @@
 func (c *conn) look(in *wire.Inbox) bool {
 	n, err := arrived(c.client, in.Space())
 	in.Fed(n)
-	if err != nil {
-		c.left(err)
+	if err == nil || lacksMemory(err) { // the latter tells nothing
+		return true
 	}
-	return err == nil
+	c.left(err)
+	return false
 }
 
 // upward reads the client: before the connection is up to learn that it leaves, then to pass its lines on. What comes
@@ -42,7 +43,7 @@
 				break
 			}
 			c.waiting.CompareAndSwap(0, nanos(time.Now()))
-			if _, err := c.host.Write(in.Rest()); err != nil {
+			if _, err := writeAll(c.host, in.Rest()); err != nil {
 				return // the other goroutine meets the broken host too, and ends the client like it
 			}
 			in.Drop(len(in.Rest()))
@@ -57,7 +58,7 @@
 				continue
 			}
 		}
-		n, err := c.client.Read(in.Space())
+		n, err := readSome(c.client, in.Space())
 		in.Fed(n)
 		if n == 0 && err != nil && timedOut(err) {
 			if goOn, _ := c.rest(c.client, false, func(*parking) {}); goOn {
--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -18,7 +18,7 @@
 	defer r.Free()
 	var err error
 	if len(upLine) > 0 {
-		_, err = c.client.Write(upLine)
+		_, err = writeAll(c.client, upLine)
 	}
 	stuck := err != nil // the client does not take what is for it
 	for err == nil {
@@ -36,12 +36,12 @@
 			c.d.node.Load(c.id, c, seen.Load)
 		}
 		if len(chunk) > 0 {
-			_, err = c.client.Write(chunk)
+			_, err = writeAll(c.client, chunk)
 			stuck = err != nil
 			continue
 		}
 		var n int
-		n, err = host.Read(r.Space())
+		n, err = readSome(host, r.Space())
 		r.Fed(n)
 		if n > 0 {
 			err = nil
@@ -87,7 +87,7 @@
 		c.stopReading()
 		c.finish(wire.Move)
 	case errors.Is(err, io.EOF):
-		_, _ = c.client.Write(r.Rest()) // a last line without its end
+		_, _ = writeAll(c.client, r.Rest()) // a last line without its end
 		c.stopReading()
 		c.linger()
 	case left:
--- a/internal/driver/request.go
+++ b/internal/driver/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"runtime/debug"
 	"strings"
@@ -54,7 +53,7 @@
 		case c.half.Load() && !said:
 			// It has ended its side and may still read: its request is answered like any other.
 			_ = c.client.SetWriteDeadline(time.Now().Add(lingerFor))
-			_, _ = io.WriteString(c.client, wire.Err)
+			_, _ = writeAll(c.client, []byte(wire.Err))
 		}
 	}()
 	if c.open.At != "" {
