A shared document that can't be read now is left as it is and read again

Change: the file's state is noted once it was read; damage has a type, DamageError, and alone lets Update replace the document. Any other error ends the change: lifecycle.tell then holds the order here and writes it later, as where the folder is full.

--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -99,8 +99,20 @@
 	return now
 }
 
+// DamageError says that a document was read and can't be believed: it is damaged, or none of this node's.
+type DamageError struct {
+	Path string
+	Err  error
+}
+
+func (e *DamageError) Error() string { return e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns what is wrong with it.
+func (e *DamageError) Unwrap() error { return e.Err }
+
 // Load reads the document as it is now; fresh is false where it is as this process last knew it. What is damaged, or is
-// none of this node's, is an error, once for each state of the file, and nothing of it is believed.
+// none of this node's, is a DamageError, once for each state of the file, and nothing of it is believed. Any other error
+// says that it could not be read now: the next call reads it again.
 func (s *Store) Load() (d Document, fresh bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,21 +129,24 @@
 	case s.seen != nil && os.SameFile(info, s.seen) && info.ModTime().Equal(s.seen.ModTime()) && info.Size() == s.seen.Size():
 		return s.last, false, nil
 	}
-	s.seen = info
 	text, err := readBounded(s.path())
+	if err != nil && !errors.Is(err, errTooLarge) {
+		return s.last, false, err
+	}
+	s.seen = info
 	if err == nil {
 		d, err = Decode(text, s.node)
 	}
 	if err != nil {
-		return s.last, false, fmt.Errorf("%s: %w", s.path(), err)
+		return s.last, false, &DamageError{s.path(), err}
 	}
 	fresh = d.Serial != s.last.Serial
 	s.last = d
 	return d, fresh, nil
 }
 
-// Update changes the document: whole or not at all, and in one order for all processes. What can't be read is replaced
-// by what this process knows.
+// Update changes the document: whole or not at all, and in one order for all processes. What is damaged is replaced by
+// what this process knows; what can't be read now may hold others' orders, and is left as it is.
 func (s *Store) Update(change func(*Document) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,7 +155,11 @@
 		return err
 	}
 	defer unlock()
-	d, _, _ := s.load()
+	d, _, err := s.load()
+	var damage *DamageError
+	if err != nil && !errors.As(err, &damage) {
+		return err
+	}
 	d.Words = append([]Word(nil), d.Words...)
 	if err := change(&d); err != nil {
 		return err
@@ -157,6 +176,8 @@
 	return nil
 }
 
+var errTooLarge = errors.New("it is too large")
+
 // readBounded reads a file of at most mostBytes.
 func readBounded(name string) ([]byte, error) {
 	f, err := os.Open(name)
@@ -166,7 +187,7 @@
 	defer f.Close()
 	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
 	if err == nil && len(text) > mostBytes {
-		err = errors.New("it is too large")
+		err = errTooLarge
 	}
 	return text, err
 }
