Failing test: an order given before the folder could be read yields to an older one there

An unwritten order notes the document's changes that were known when it was given, 0 where it was never read; every entry on its target then counts as later, however old. No code changed.

--- a/internal/lifecycle/folder_test.go
+++ b/internal/lifecycle/folder_test.go
@@ -113,3 +113,54 @@
 		return avoided == 1
 	})
 }
+
+// An order that was given while the folder could not be used goes before one that a process before wrote there: the older
+// one was taken in once the folder could be read, and the order that the operator had a yes for was forgotten.
+func TestOrder_FolderMissingAtStart_GoesBeforeOlderOnes(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		written    time.Duration // when the other order was given, from this one
+		avoided    int64
+		wantsWords bool // the host is out in the document in the end
+	}{{"older", -time.Minute, 1, true}, {"later", time.Minute, 0, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), "later")
+			o, n := stuckIn(t, dir)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = n.Run(ctx) }()
+			if err := o.HostOut("h1"); err != nil {
+				t.Fatal(err)
+			}
+			before := filepath.Join(t.TempDir(), "before")
+			if err := os.Mkdir(before, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			earlier, err := handover.Open(before, "n1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := earlier.Update(func(d *handover.Document) error { return d.Say("h1", false, time.Now().Add(c.written)) }); err != nil {
+				t.Fatal(err)
+			}
+			earlier.Close()
+			if err := os.Rename(before, dir); err != nil {
+				t.Fatal(err)
+			}
+			go o.shared.follow(ctx)
+			eventually(t, "the document says which order holds", func() bool {
+				if o.shared.store() == nil {
+					return false
+				}
+				o.shared.mu.Lock()
+				defer o.shared.mu.Unlock()
+				d, _, err := o.shared.store().Load()
+				return err == nil && len(o.shared.owed) == 0 && len(d.Words) == 1 && d.Words[0].Out == c.wantsWords
+			})
+			eventually(t, "it holds in the process", func() bool {
+				_, avoided := n.Targets()
+				return avoided == c.avoided
+			})
+		})
+	}
+}
