An order given before the folder could be read goes before an older one that stands there

Change: such an order is marked, and settled against the document as it is first taken in: an entry that was given before it neither holds here nor keeps it from being written. A drain in the document carries no time; there the order of this process holds. Open: the two times are of the wall clock, so a step between both orders can still turn them round.

--- a/internal/lifecycle/shared.go
+++ b/internal/lifecycle/shared.go
@@ -33,6 +33,7 @@
 
 	mu     sync.Mutex  // an order and what others were told are taken in one after the other
 	seen   uint64      // the document's changes that are in force here
+	known  bool        // the document was taken in once
 	failed bool        // the folder could not be used
 	owed   unwritten   // orders that hold here and are to be written yet
 	alone  atomic.Bool // no other process was there when last looked
@@ -206,7 +207,7 @@
 	defer s.mu.Unlock()
 	store := s.store()
 	if store == nil {
-		return s.tellLater(c, unwrittenOrder{target, s.seen, change})
+		return s.tellLater(c, unwrittenOrder{target: target, after: s.seen, change: change})
 	}
 	var refused error
 	var serial uint64
@@ -230,9 +231,9 @@
 		s.seen = serial
 		s.owed.drop(target)
 	case given:
-		s.owed.add(unwrittenOrder{target, s.seen, change})
+		s.owed.add(unwrittenOrder{target: target, after: s.seen, change: change})
 	default:
-		return s.tellLater(c, unwrittenOrder{target, s.seen, change})
+		return s.tellLater(c, unwrittenOrder{target: target, after: s.seen, change: change})
 	}
 	return nil
 }
@@ -243,6 +244,7 @@
 		return err
 	}
 	if s.folder != "" {
+		o.given, o.blind = time.Now(), !s.known
 		s.owed.add(o)
 	}
 	return nil
@@ -263,8 +265,9 @@
 
 // take brings into force what this process has not taken in yet; mu is held.
 func (s *shared) take(d handover.Document) {
+	s.owed.settle(&d)
 	after := s.seen
-	s.seen = d.Serial
+	s.seen, s.known = d.Serial, true
 	order := func(c control.Command) {
 		if err := s.orders.Order(c); err != nil {
 			s.seen = after // once more at the next look
@@ -273,7 +276,7 @@
 		}
 	}
 	for _, w := range d.Words {
-		if w.Serial > after {
+		if w.Serial > after && !s.owed.supersedes(w.Host, w.Serial) {
 			kind := control.HostResume
 			if w.Out {
 				kind = control.HostDrain
@@ -282,7 +285,7 @@
 		}
 	}
 	switch l := d.Drain; {
-	case l.Serial <= after:
+	case l.Serial <= after || s.owed.supersedes(nodeOrder, l.Serial):
 	case l.On:
 		by, shut := l.Spans(handover.Now())
 		order(control.Command{Kind: control.Drain, Within: max(by, 0), Open: max(shut, 0), After: l.After, Keep: l.Keep})
--- a/internal/lifecycle/unwritten.go
+++ b/internal/lifecycle/unwritten.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,6 +17,8 @@
 type unwrittenOrder struct {
 	target string // a host, or nodeOrder
 	after  uint64 // the document's changes that were known when it was given: a later one on the target goes before it
+	blind  bool   // the document had not been read then: after means nothing until settle has looked
+	given  time.Time
 	change func(*handover.Document) error
 }
 
@@ -42,17 +45,41 @@
 	}
 }
 
+// settle decides, for orders that were given before the document was ever read, whether what it says on their targets is
+// older: then they go before it. Drains carry no time of their own; this process's is what operators said last to it.
+func (u unwritten) settle(d *handover.Document) {
+	for i, o := range u {
+		if !o.blind {
+			continue
+		}
+		u[i].blind = false
+		if word, ok := wordOn(d, o.target); !ok || !word.At.After(o.given) {
+			u[i].after = latest(d, o.target)
+		}
+	}
+}
+
+// supersedes reports whether an order that is not written yet goes before the document's change on a target.
+func (u unwritten) supersedes(target string, serial uint64) bool {
+	return slices.ContainsFunc(u, func(o unwrittenOrder) bool { return o.target == target && o.after >= serial })
+}
+
+// wordOn is the document's word on a host.
+func wordOn(d *handover.Document, host string) (w handover.Word, ok bool) {
+	i := slices.IndexFunc(d.Words, func(w handover.Word) bool { return w.Host == host })
+	if i < 0 {
+		return w, false
+	}
+	return d.Words[i], true
+}
+
 // latest is the document's last change on a target, 0 for none.
 func latest(d *handover.Document, target string) uint64 {
 	if target == nodeOrder {
 		return d.Drain.Serial
 	}
-	for _, w := range d.Words {
-		if w.Host == target {
-			return w.Serial
-		}
-	}
-	return 0
+	w, _ := wordOn(d, target)
+	return w.Serial
 }
 
 // writeOwed writes what could not be written before.
