The soak has system calls fail and wall clocks stepped on real processes

Cause: failing calls and clock steps were forced at functions alone; the soak overlapped everything else. Change: its nodes start under internal/sysfault; a seed draws moments in which accept, socket, connect, read or write fail at one to three nodes for up to a second, or their clocks are stepped by 5 s or an hour, among the other troubles. Every seed gives another plan than before this. rig.Options.Starter starts a node's process.

--- a/internal/rig/make.go
+++ b/internal/rig/make.go
@@ -59,7 +59,8 @@
 // newNode makes a node's process, its link to the list service and its folder.
 func (r *Rig) newNode(i int) error {
 	f := r.fleet
-	p := &process{name: fmt.Sprint("n", i+1), zone: f.Zones[i%len(f.Zones)], program: r.opt.Program, log: r.opt.Log, args: []string{"node"}}
+	p := &process{name: fmt.Sprint("n", i+1), zone: f.Zones[i%len(f.Zones)], program: r.opt.Program, log: r.opt.Log,
+		args: []string{"node"}, starter: r.opt.Starter}
 	// An address of its own, so that neither a connection from this machine nor a node of another rig takes the port
 	// while the node restarts.
 	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, 5*((os.Getpid()/64+r.number)%51)+i/250, i%250+1))
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -20,6 +20,7 @@
 	control                           string   // where it listens for others over TLS; "" for nowhere
 	folder                            string   // what it may keep over its starts; "" for nothing
 	log                               io.Writer
+	starter                           func(name string, cmd *exec.Cmd) error // in place of cmd.Start; nil for that
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -37,7 +38,11 @@
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	// A node must not outlive who started it, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	begin := cmd.Start
+	if p.starter != nil {
+		begin = func() error { return p.starter(p.name, cmd) }
+	}
+	if err := begin(); err != nil {
 		return fmt.Errorf("%s %s: %w", p.args[0], p.name, err)
 	}
 	done := make(chan struct{})
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"os"
+	"os/exec"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	Seed    uint64
 	Classes []ClassSpec
 	Tenants []string
+	// Starter starts a node's process in place of its command's Start, each time the node starts; nil for that.
+	Starter func(name string, cmd *exec.Cmd) error
 }
 
 // Rig is a fleet that runs.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	Faults  []rig.FaultSpec
 	Reloads []Reload
 	Crowds  []Crowd
+	Calls   []CallFault
 }
 
 // Reload is a configuration that is read again while a node runs.
@@ -71,7 +72,8 @@
 	plan.Mode = []string{"pass", "proxy"}[d.IntN(2)]
 	plan.Push = d.IntN(2) == 0
 	moments := []func(at time.Duration){d.stop, d.stop, d.stopAmidHangs, d.kill, d.holdUp, d.reload, d.reload, d.discovery, d.discovery, d.listLink,
-		d.hang, d.release, d.release, d.die, d.hostLink, d.hostLink, d.crowd}
+		d.hang, d.release, d.release, d.die, d.hostLink, d.hostLink, d.crowd,
+		d.calls, d.calls, d.clock}
 	for at := between / 2; at < shape.Length; at += time.Duration((0.5 + d.Float64()) * float64(between)) {
 		for range 2 + d.IntN(2) {
 			moments[d.IntN(len(moments))](at + d.span(0, overlap))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -18,6 +18,7 @@
 	"onyxstream/internal/invariant"
 	"onyxstream/internal/rig"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/sysfault"
 )
 
 // Config says how a plan is played.
@@ -32,8 +33,11 @@
 	Verdict
 	Violations []string // lines of the nodes' own checks
 	Crashes    []string // lines that tell of a panic, or of an event that could not be handled
-	Log        []byte   // all that the nodes wrote
-	Records    []stand.Record
+	// CallsFailed counts system calls that failed by the plan, at the nodes' last processes.
+	CallsFailed int
+	ClockSteps  int // that nodes have noticed
+	Log         []byte // all that the nodes wrote
+	Records     []stand.Record
 }
 
 // Broken lists all that speaks against the nodes.
@@ -69,7 +73,9 @@
 		return nil, fmt.Errorf("seed %d: %w", p.Seed, err)
 	}
 	log := &logBuffer{}
-	r, err := rig.Start(ctx, f, rig.Options{Program: cfg.Program, Log: log, Debug: cfg.Debug, Seed: p.Seed, Classes: classes, Tenants: []string{"acme"}})
+	calls := &faulty{seed: p.Seed, now: map[string]*sysfault.Process{}}
+	r, err := rig.Start(ctx, f, rig.Options{Program: cfg.Program, Log: log, Debug: cfg.Debug, Seed: p.Seed, Classes: classes, Tenants: []string{"acme"},
+		Starter: calls.start})
 	if err != nil {
 		return nil, err
 	}
@@ -79,6 +85,7 @@
 	r.Play(ctx, p.Faults)
 	run.reloads()
 	run.crowds()
+	run.calls(calls)
 	run.clients(cfg.Rate)
 	run.wg.Wait()
 	recs, lost := r.Ledger.Records()
@@ -86,6 +93,8 @@
 		return nil, fmt.Errorf("%d records are lost", lost)
 	}
 	report := &Report{Verdict: Judge(recs, Usual, p.facts(begin, r.Clock.Now())), Log: log.bytes(), Records: recs}
+	report.ClockSteps = bytes.Count(report.Log, []byte("clock was stepped"))
+	report.CallsFailed = calls.injected()
 	report.Violations, report.Crashes = sift(report.Log)
 	return report, errors.Join(run.failure(), r.Failed())
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,15 +14,22 @@
 	"github.com/google/go-cmp/cmp"
 
 	"onyxstream/internal/stand"
+	"onyxstream/internal/sysfault"
 )
 
+func TestMain(m *testing.M) {
+	sysfault.RunLauncher()
+	os.Exit(m.Run())
+}
+
 var built = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "onyxstream-soak")
 	if err != nil {
 		return "", err
 	}
 	path := filepath.Join(dir, "onyxstream")
-	out, err := exec.Command("go", "build", "-o", path, "onyxstream/cmd/onyxstream").CombinedOutput()
+	// Linked against the C library, like the deployment's: a static program ignores the library that hides the vDSO.
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, "onyxstream/cmd/onyxstream").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
@@ -58,8 +65,8 @@
 			if report == nil {
 				return
 			}
-			t.Logf("seed %d, %s: %d troubles, %d asked, %d served, %d refused, %d failed, %d exempt", seed, plan.Mode,
-				len(plan.Faults)+len(plan.Reloads)+len(plan.Crowds), report.Asked, report.Served, report.Refused, report.Failed, report.Exempt)
+			t.Logf("seed %d, %s: %d troubles, %d system calls failed, %d clock steps seen, %d asked, %d served, %d refused, %d failed, %d exempt", seed, plan.Mode,
+				len(plan.Faults)+len(plan.Reloads)+len(plan.Crowds)+len(plan.Calls), report.CallsFailed, report.ClockSteps, report.Asked, report.Served, report.Refused, report.Failed, report.Exempt)
 			for _, line := range report.Broken() {
 				t.Errorf("seed %d: %s", seed, line)
 			}
@@ -84,7 +91,7 @@
 	for _, x := range plan.Faults {
 		fmt.Fprintf(&told, "%v for %v: %s on %s by %g over %v\n", x.At.D(), x.For.D(), x.What, x.On, x.By, x.Over.D())
 	}
-	fmt.Fprintf(&told, "reloads %+v\ncrowds %+v\n", plan.Reloads, plan.Crowds)
+	fmt.Fprintf(&told, "reloads %+v\ncrowds %+v\ncalls %+v\n", plan.Reloads, plan.Crowds, plan.Calls)
 	for name, text := range map[string]string{"log": string(report.Log), "ledger": ledger.String(), "plan": told.String()} {
 		if err := os.WriteFile(filepath.Join(folder, fmt.Sprintf("seed%d.%s", seed, name)), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
