--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,7 +35,7 @@
 	Crashes    []string // lines that tell of a panic, or of an event that could not be handled
 	// CallsFailed counts system calls that failed by the plan, at the nodes' last processes.
 	CallsFailed int
-	ClockSteps  int // that nodes have noticed
+	ClockSteps  int    // that nodes have noticed
 	Log         []byte // all that the nodes wrote
 	Records     []stand.Record
 }
