An offer that can't be taken back at once is tried again, and does not pass for taken

Cause: see the failing test; Store.Give took any error of its rename for a taken offer. Change: takenBack tries again for 0.3 s while the folder takes no change, and stops where the offer is gone. With the waits before and behind it a client's lines are held back for 0.9 s at most, within the second that they may. Measured: internal/handover 3 of 3 under the race detector, the tests of upgrades with real processes passed. Open: a folder that takes no change for longer than 0.6 s in that very moment still gives up what was offered.

--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -97,13 +97,28 @@
 			return outcome(name, taken), nil
 		}
 	}
-	if os.Rename(name, name+".back") == nil { // nobody can take it any more
-		_ = os.Remove(name + ".back")
+	if takenBack(name) {
 		return taken, errors.New("no process takes what is offered")
 	}
 	return outcome(name, taken), nil // it was taken just now
 }
 
+// takenBack takes an offer back, so that nobody can take it any more; false where it is gone already. A folder that takes no
+// change for a moment is tried again: what was not taken must not pass for taken. One that takes none for longer leaves
+// the offer there, for another process to take, and its connections are given up here.
+func takenBack(name string) bool {
+	for by := time.Now().Add(takenWithin); ; time.Sleep(offerLook) {
+		err := os.Rename(name, name+".back")
+		if err == nil {
+			_ = os.Remove(name + ".back")
+			return true
+		}
+		if errors.Is(err, fs.ErrNotExist) || time.Now().After(by) {
+			return false
+		}
+	}
+}
+
 // outcome reads which connections of a taken offer were taken. Where that can't be read, as for want of a descriptor, all
 // count as taken: two processes on one connection would tear its lines apart, one less is a client that comes again.
 func outcome(name string, taken []bool) []bool {
