Failing test: bursts around the end of a node's window push a cold host over on few nodes

What is left at the end of one window and what the next one grants come together; on a large fleet the nodes' windows lie apart, on a few nothing evens that out. The test of ramps had five nodes and more, and one burst. Change: a test with 1, 2, 3 and 8 nodes and a burst on either side of a window's end; it fails and is listed. The log's Sync waits 0.1 s at most, half of what a node keeps free before it would be killed. The rest of the suite was not run for this commit.

--- a/brain/ramp_test.go
+++ b/brain/ramp_test.go
@@ -161,3 +161,62 @@
 		t.Errorf("behind it, it sends one in %v, usually one in %v", b.sendInterval, usual)
 	}
 }
+
+// A budget binds in every window of its length, wherever that begins: what a node has left at the end of one of its own
+// windows and what it has anew at the start of the next come together, and on a fleet of few nodes nobody evens that out.
+func TestSlowStart_BurstsAroundAWindowsEnd_KeepTheBudget(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3, 8} {
+		const hosts = 4
+		s := testSettings()
+		s.GroupSize, s.AskList = nodes, false
+		s.Classes = s.Classes[:1]
+		s.Tenants = []Tenant{{Connections: 240 * hosts}}
+		servers := fleetOf(hosts)
+		at := time.Hour + 5*time.Second
+		fleet := make([]*Brain, nodes)
+		for i := range fleet {
+			s.Index, s.Seed = i, uint64(i)
+			fleet[i] = New(s)
+			fleet[i].Handle(time.Hour, ListEvent{Kind: ListFull, Version: 1, Servers: servers[1:]})
+			servers[0].Since = at
+			fleet[i].Handle(at, ListEvent{Kind: ListChange, Version: 2, Servers: servers[:1]})
+		}
+		n, sent := 0, 0
+		come := func(now time.Duration, requests int) {
+			for _, b := range fleet {
+				for range requests / nodes {
+					n++
+					id := RequestID(fmt.Sprint("r", n))
+					for _, q := range sends(b.Handle(now, Arrival{ID: id, Key: string(id), Tenant: 0, Left: 2 * time.Second})) {
+						if q.Server == servers[0].ID {
+							sent++
+						}
+						b.Handle(now, Opened{ID: id, Server: q.Server, Took: ms})
+						b.Handle(now, Settled{ID: id, Server: q.Server, Took: ms, Outcome: Served})
+					}
+				}
+			}
+		}
+		come(at+ms, 16) // each node's window begins
+		sent = 0
+		end := at + ms + s.FallWindow
+		come(end-20*ms, 1600)
+		before := sent
+		come(end+20*ms, 1600)
+		share := s.ColdShare + (1-s.ColdShare)*float64(end-at)/float64(s.WarmWithin)
+		weight := 0.0
+		for _, server := range servers {
+			weight += server.Weight
+		}
+		part := s.Tenants[0].Connections * servers[0].Weight / weight
+		budget := s.FallMultiple * part * max(1, 2*share) * s.FallWindow.Seconds() / s.WarmWithin.Seconds()
+		most := budget + 2*math.Sqrt(budget) + 2
+		if budget < 30 {
+			most = budget + 3*math.Sqrt(budget) + 3
+		}
+		t.Logf("%d nodes: %d and %d sent around the end of a window, %.0f allowed", nodes, before, sent-before, most)
+		if float64(sent) > most || sent == 0 {
+			t.Errorf("%d nodes send %d within 40 ms, %.0f are allowed in %v", nodes, sent, most, s.FallWindow)
+		}
+	}
+}
--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -13,7 +13,7 @@
 	// maxQueued bounds the bytes that wait to be written. Lines that come beyond that are dropped, and counted.
 	maxQueued = 256 << 10
 	// syncWithin bounds how long Sync waits.
-	syncWithin = 200 * time.Millisecond
+	syncWithin = 100 * time.Millisecond
 	// syncPoll is how often Sync looks.
 	syncPoll = time.Millisecond
 )
@@ -52,7 +52,7 @@
 	return len(line), nil
 }
 
-// Sync waits until all that was queued is written, for a fifth of a second at most: a log that can't be written must not
+// Sync waits until all that was queued is written, for a tenth of a second at most: a log that can't be written must not
 // hold up the end of the process either.
 func (w *Writer) Sync() error {
 	for by := time.Now().Add(syncWithin); time.Now().Before(by); time.Sleep(syncPoll) {
