A cold host gets its budget in any window of its length, not only in a node's own

Cause: hasSlowStartBudget granted its share anew at the end of each of a node's own windows, so up to twice the share came within moments where that lay in the middle of a burst (see the failing test). Change: where a node's share is one connection or more in a window (few nodes, or much to each), what was sent within the last window counts against it as well. Where the share is less, as in large fleets, nothing changes. Open: fleets whose settings tell no quotas use a bucket that can hold one window's share and refill by another; their share is reckoned low, so nothing was seen, and it was not changed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -131,7 +131,7 @@
 	}
 	b.count(s, r, 1)
 	if b.slowStartFactor(s) < 1 {
-		s.tokens--
+		b.noteSend(s)
 	}
 	b.emit(Send{r.ID, s.id, left})
 }
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -184,9 +184,29 @@
 		part := b.quota * s.weight / max(b.most, s.weight) * max(1, 2*share)
 		n := b.set.FallMultiple * part * b.set.FallWindow.Seconds() / b.set.WarmWithin.Seconds()
 		comes := max(b.rate, b.came, b.coming) * b.set.FallWindow.Seconds() * s.weight / max(b.usable, s.weight)
-		s.tokens, s.refill = math.Floor(n/max(min(comes, 1), min(n, 1))+b.rng.Float64()), b.now
+		round := b.rng.Float64()
+		s.tokens, s.refill = math.Floor(n/max(min(comes, 1), min(n, 1))+round), b.now
+		if s.mostRecent = 0; n >= 1 {
+			s.mostRecent = int(n + round)
+		}
+	}
+	return s.tokens >= 1 && (s.mostRecent == 0 || b.recentSends(s) < s.mostRecent)
+}
+
+// recentSends counts what was sent to a cold server within the last FallWindow. The budget binds in every window of that
+// length, also in one that begins in the middle of two of this node's own: on few nodes nobody else evens that out.
+func (b *Brain) recentSends(s *server) int {
+	old, _ := slices.BinarySearch(s.sentAt, b.now-b.set.FallWindow+1)
+	s.sentAt = slices.Delete(s.sentAt, 0, old)
+	return len(s.sentAt)
+}
+
+// noteSend takes one connection out of a cold server's budget.
+func (b *Brain) noteSend(s *server) {
+	s.tokens--
+	if s.mostRecent > 0 {
+		s.sentAt = append(s.sentAt, b.now)
 	}
-	return s.tokens >= 1
 }
 
 // recordFailure notes a failed attempt and shuts the server out for a time.
--- a/brain/state.go
+++ b/brain/state.go
@@ -107,9 +107,12 @@
 	borne              float64       // what it bore before
 	message, messageAt time.Duration // how long messages took, and when that was told
 
-	tokens  float64 // cold budget left, in connections, of the window that began at refill
-	refill  time.Duration
-	visited uint64 // stamp of the walk that last met it
+	tokens float64 // cold budget left, in connections, of the window that began at refill
+	// mostRecent bounds what a cold server may get in any FallWindow, 0 for no bound; sentAt is when it got it, in order.
+	mostRecent int
+	sentAt     []time.Duration
+	refill     time.Duration
+	visited    uint64 // stamp of the walk that last met it
 }
 
 // nodeState is a server's state in the table (the source's four states).
