A test of an upgrade in which calls of both processes fail

Cause: upgrades had been tried with a failing folder and with a want of descriptors one at a time, at functions. Change: a test of two real processes with clients that stand and clients that come, while openat, renameat, read and write fail at both.

--- a/cmd/onyxstream/sysfault_test.go
+++ b/cmd/onyxstream/sysfault_test.go
@@ -167,3 +167,47 @@
 		t.Errorf("%d requests went to the host that drains", after-before)
 	}
 }
+
+// While one process of a node takes over from another, files can't be opened or renamed and sockets lack memory for moments,
+// at both. Nobody who comes is lost, and whoever stood is served on, or sent away between two lines.
+func TestUpgrade_SystemCallsFail_NobodyIsLost(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "h1")
+	o, reg := inherited(t, h)
+	rules := []sysfault.Rule{{Call: sysfault.OpenAt, Share: 0.2, Errors: []unix.Errno{unix.EMFILE, unix.ENFILE, unix.EIO, unix.ENOMEM}},
+		{Call: sysfault.Rename, Share: 0.2, Errors: []unix.Errno{unix.ENOSPC, unix.EIO}},
+		{Call: sysfault.Read, Share: 0.05, Errors: []unix.Errno{unix.ENOMEM, unix.EINTR}, OnSockets: true},
+		{Call: sysfault.Write, Share: 0.05, Errors: []unix.Errno{unix.ENOBUFS, unix.EINTR}, OnSockets: true}}
+	calls := []sysfault.Call{sysfault.OpenAt, sysfault.Rename, sysfault.Read, sysfault.Write}
+	o.faults = &sysfault.Options{Calls: calls, Seed: 1}
+	p := start(t, o, reg.addr)
+	var standing []*client
+	for range 40 { // more than one offer
+		standing = append(standing, p.open(t, ""))
+		standing[len(standing)-1].hears("UP ")
+	}
+	o.faults = &sysfault.Options{Calls: calls, Seed: 2}
+	next := upgrade(t, o, reg.addr)
+	p.faults.Fail(rules...)
+	next.faults.Fail(rules...)
+	p.signal(t)
+	answers, lost := next.load(4, 2*time.Second)
+	p.ended(t)
+	next.faults.Fail()
+	for _, l := range lost {
+		t.Errorf("request r%d has no answer: heard %q, error %v", l.request, l.heard, l.err)
+	}
+	served, moved := 0, 0
+	for i, k := range standing {
+		k.say("M 1\r\n")
+		switch line, err := k.r.ReadString('\n'); {
+		case strings.HasPrefix(line, "M 1"):
+			served++
+		case strings.HasPrefix(line, "MOVE"):
+			moved++
+		default:
+			t.Errorf("client %d, which stood: heard %q, error %v", i, line, err)
+		}
+	}
+	t.Logf("answers %v; of %d who stood %d are served on, %d were sent away", answers, len(standing), served, moved)
+}
