Reads and writes of real nodes are short, in tests and in the soak

Change: internal/sysfault makes a read or write in the program's place, of a few bytes at most, on a copy of its socket; a case of TestSystemCalls_FailForAMoment_RequestsAreAnswered and a kind of trouble of the soak use it.

--- a/cmd/onyxstream/sysfault_test.go
+++ b/cmd/onyxstream/sysfault_test.go
@@ -80,6 +80,7 @@
 		{"wait", []sysfault.Rule{{Call: sysfault.Wait, Share: share, Errors: []unix.Errno{unix.EINTR}}}},
 		{"interrupted", []sysfault.Rule{{Call: sysfault.Read, Share: share, Errors: []unix.Errno{unix.EINTR}, OnSockets: true},
 			{Call: sysfault.Write, Share: share, Errors: []unix.Errno{unix.EINTR}, OnSockets: true}}},
+		{"short", []sysfault.Rule{{Call: sysfault.Read, Share: 0.7, Short: 3}, {Call: sysfault.Write, Share: 0.7, Short: 3}}},
 		{"read", []sysfault.Rule{{Call: sysfault.Read, Share: 0.05, Errors: []unix.Errno{unix.ENOBUFS, unix.ENOMEM}, OnSockets: true}}},
 		{"write", []sysfault.Rule{{Call: sysfault.Write, Share: 0.05, Errors: []unix.Errno{unix.ENOBUFS, unix.ENOMEM}, OnSockets: true}}},
 	} {
--- a/internal/soak/sysfaults.go
+++ b/internal/soak/sysfaults.go
@@ -26,6 +26,7 @@
 	{{Call: sysfault.Connect, Share: 0.5, Errors: []unix.Errno{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN}}},
 	{{Call: sysfault.Read, Share: 0.1, Errors: []unix.Errno{unix.ENOMEM, unix.ENOBUFS, unix.EINTR}, OnSockets: true},
 		{Call: sysfault.Write, Share: 0.1, Errors: []unix.Errno{unix.ENOMEM, unix.ENOBUFS, unix.EINTR}, OnSockets: true}},
+	{{Call: sysfault.Read, Share: 0.7, Short: 5}, {Call: sysfault.Write, Share: 0.7, Short: 5}},
 }
 
 // clockSteps are how far a node's wall clock may be from the machine's.
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -41,6 +41,8 @@
 	Share  float64      // of the calls, 1 for all
 	// OnSockets leaves calls on anything else alone: Read and Write are of files, pipes and the runtime's own too.
 	OnSockets bool
+	// Short has reads and writes on sockets carry so many bytes at most, in place of failing; 0 for not.
+	Short int
 }
 
 // Options say what a program's process can be made to meet. What is not named here costs it nothing.
@@ -165,10 +167,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rules {
-		if r.Call != call || p.rng.Float64() >= r.Share || r.OnSockets && !isSocket(asked) {
+		if r.Call != call || p.rng.Float64() >= r.Share || (r.OnSockets || r.Short > 0) && !isSocket(asked) {
 			continue
 		}
 		p.injected[call]++
+		if r.Short > 0 {
+			return short(asked, call, r.Short)
+		}
 		return response{error: -int32(r.Errors[p.rng.IntN(len(r.Errors))])}
 	}
 	return goOn
