--- /dev/null
+++ b/brain/slowstart_test.go
@@ -0,0 +1,252 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The budget of a cold server is one for all nodes together: 160 nodes, each with a part of the traffic, must
+// not send it more connections in a window than the multiple of what its present share is worth.
+func TestManyNodesTogetherKeepAColdServersBudget(t *testing.T) {
+	const nodes, servers = 160, 60
+	var all []*Brain
+	for i := range nodes {
+		n := sized(t, i, nodes, servers)
+		n.rate = 0.25 // as when the day has settled
+		all = append(all, n)
+	}
+	cold := Server{ID: "s99", Weight: 2, Since: time.Minute}
+	for _, n := range all {
+		n.Handle(time.Minute, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{cold}})
+	}
+	set := testSettings()
+	rate := 0.25 * nodes * cold.Weight / all[0].weight // what the fleet's traffic comes to for its weight
+	var sent []time.Duration
+	for step := range 1000 { // ten seconds, in which all clients come back at once and again
+		now := time.Minute + time.Duration(step)*10*ms
+		for i, n := range all {
+			if (step+i)%50 != 0 {
+				continue
+			}
+			id := RequestID(fmt.Sprint(step, "-", i))
+			for _, s := range sends(n.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})) {
+				if s.Server == cold.ID {
+					sent = append(sent, now)
+				}
+				n.Handle(now, Settled{ID: id, Outcome: Served, Final: true})
+			}
+		}
+	}
+	for i, from := range sent {
+		in := 0
+		for _, at := range sent[i:] {
+			if at < from+set.FallWindow {
+				in++
+			}
+		}
+		share := min(1, set.ColdShare+(1-set.ColdShare)*float64(from-time.Minute)/float64(set.WarmWithin))
+		// Chance of 160 draws: three more than the mean would be.
+		if most := set.FallMultiple*share*rate*set.FallWindow.Seconds() + 3; float64(in) > most {
+			t.Fatalf("%d connections in the window from %v on, at most %.1f would hold", in, from-time.Minute, most)
+		}
+	}
+}
+
+// Eighty nodes that have hardly placed anything yet spent almost none of a cold server's budget, each its own
+// rate's part. What the quotas let the fleet hold tells what the server is good for; in sum the budget still holds.
+func TestNodesWithoutTrafficSpendAColdServersBudget(t *testing.T) {
+	const nodes, servers, quota = 80, 10, 300.0
+	var all []*Brain
+	for i := range nodes {
+		s := testSettings()
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, []Tenant{{Connections: quota}}
+		n := started(t, s, servers)
+		n.Handle(time.Minute, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "s99", Weight: 4, Since: time.Minute}}})
+		all = append(all, n)
+	}
+	set := testSettings()
+	windows := make([]float64, 4)
+	for w := range windows {
+		for i, n := range all { // every node has several clients waiting in every window
+			now := time.Minute + time.Duration(w)*set.FallWindow + time.Duration(i)*ms
+			for c := range 20 {
+				id := RequestID(fmt.Sprint(w, "-", i, "-", c))
+				for _, s := range sends(n.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})) {
+					if s.Server == "s99" {
+						windows[w]++
+					}
+					n.Handle(now, Settled{ID: id, Outcome: Served, Final: true})
+				}
+			}
+		}
+	}
+	for w, sent := range windows {
+		share := set.ColdShare + (1-set.ColdShare)*float64(w)*set.FallWindow.Seconds()/set.WarmWithin.Seconds()
+		budget := set.FallMultiple * share * quota * 4 / all[0].weight * set.FallWindow.Seconds()
+		if sent < budget/8 || sent > budget {
+			t.Errorf("window %d: %.0f connections of a budget of %.1f", w, sent, budget)
+		}
+	}
+}
+
+// The budget was the same from a server's start until it was warm: of 282 nodes' asks the more were held back the more it
+// could bear. It grows with the present share from half warm on, and in sum stays within the multiple of it.
+func TestAColdServersBudgetGrowsAsItWarms(t *testing.T) {
+	const nodes, servers, quota = 80, 10, 300.0
+	set := testSettings()
+	var all []*Brain
+	for i := range nodes {
+		s := testSettings()
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, []Tenant{{Connections: quota}}
+		all = append(all, started(t, s, servers))
+	}
+	spent := func(since, from time.Duration) (n float64) {
+		for w := range 3 {
+			now := from + time.Duration(w)*set.FallWindow
+			for i, b := range all {
+				for c := range 12 {
+					id := RequestID(fmt.Sprint(now, "-", i, "-", c))
+					for _, a := range sends(b.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})) {
+						if a.Server == "s99" {
+							n++
+						}
+						b.Handle(now, Settled{ID: id, Outcome: Served, Final: true})
+					}
+				}
+			}
+		}
+		return n
+	}
+	for _, b := range all {
+		b.Handle(time.Minute, ListEvent{Kind: ListChange, Version: 2, Servers: []Server{{ID: "s99", Weight: 4, Since: time.Minute}}})
+	}
+	cold := spent(time.Minute, time.Minute)
+	warm := spent(time.Minute, time.Minute+set.WarmWithin-3*set.FallWindow)
+	fills := quota * 4 / all[0].weight / set.WarmWithin.Seconds() * set.FallWindow.Seconds() // what fills it over its warm-up
+	if most := 3 * set.FallMultiple * fills * 2; warm < cold*3/2 || warm > most {
+		t.Errorf("%.0f connections in three windows while cold, %.0f when nearly warm, at most %.0f", cold, warm, most)
+	}
+}
+
+// After a power cut all servers are cold and no node has placed anything: where the settings tell no quotas each node's
+// budget was its own rate's part, which was nothing, and every client was turned away until the servers were warm. The
+// present share of what comes is served, by all nodes together, and no more than the multiple at any one.
+func TestAFleetThatIsAllColdServesWhatItCan(t *testing.T) {
+	const nodes, servers, perSecond = 40, 10, 5
+	set := testSettings()
+	var all []*Brain
+	for i := range nodes {
+		s := testSettings()
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, nil
+		b := New(s)
+		list := fleetOf(servers)
+		for k := range list {
+			list[k].Since = time.Hour
+		}
+		b.Handle(time.Hour, ListEvent{Kind: ListFull, Version: 1, Servers: list})
+		all = append(all, b)
+	}
+	sent, on := make([]float64, 12), map[ServerID][]time.Duration{}
+	for step := range 12 * perSecond * 2 {
+		now := time.Hour + time.Duration(step)*time.Second/perSecond/2
+		for i, b := range all {
+			if step%2 == 0 {
+				b.Handle(now, Timer{Token: sweepToken})
+				continue
+			}
+			id := RequestID(fmt.Sprint(step, "-", i))
+			for _, a := range sends(b.Handle(now, Arrival{ID: id, Key: string(id), Left: time.Second})) {
+				sent[(now-time.Hour)/time.Second]++
+				on[a.Server] = append(on[a.Server], now)
+				b.Handle(now, Opened{ID: id, Server: a.Server, Took: ms})
+			}
+		}
+	}
+	for w := 2; w < 10; w++ {
+		share := set.ColdShare + (1-set.ColdShare)*float64(w)*time.Second.Seconds()/set.WarmWithin.Seconds()
+		if came := float64(nodes * perSecond); sent[w] < came*share/2 || sent[w] > came*share*1.7 {
+			t.Errorf("in second %d %.0f of %.0f were sent on, at a share of %.2f", w, sent[w], came, share)
+		}
+	}
+	for id, times := range on { // its even part of what comes is what a server is taken to be good for
+		for k, from := range times {
+			n := 0
+			for _, at := range times[k:] {
+				if at < from+set.FallWindow {
+					n++
+				}
+			}
+			share := min(1, set.ColdShare+(1-set.ColdShare)*float64(from-time.Hour)/float64(set.WarmWithin))
+			if most := set.FallMultiple*share*nodes*perSecond/servers*set.FallWindow.Seconds() + 4; float64(n) > most {
+				t.Fatalf("%s was sent %d in the window from %v on, at most %.0f would hold", id, n, from-time.Hour, most)
+			}
+		}
+	}
+}
+
+// An old list can't tell which servers have been started since: they pass for cold until a list tells.
+func TestServersOfAnOldListAreColdUntilTold(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Connections: 60}}
+	b := New(s)
+	old, told := fleetOf(4), fleetOf(4)
+	for i := range old {
+		old[i].Since, old[i].Guess = time.Hour, true
+	}
+	b.Handle(time.Hour, ListEvent{Kind: ListCached, Version: 1, Servers: old})
+	place := func(from time.Duration, prefix string) (n int) {
+		for i := range 60 {
+			id := RequestID(fmt.Sprint(prefix, i))
+			n += len(sends(b.Handle(from+time.Duration(i)*ms, Arrival{ID: id, Key: string(id), Left: time.Second})))
+		}
+		return n
+	}
+	if n := place(time.Hour, "a"); n == 0 || n > 30 {
+		t.Errorf("%d of 60 were sent to servers that may be cold", n)
+	}
+	b.Handle(time.Hour+time.Second, ListEvent{Kind: ListFull, Version: 1, Servers: told})
+	if n := place(time.Hour+time.Second, "b"); n < 55 {
+		t.Errorf("%d of 60 were sent to servers that are told to be warm", n)
+	}
+}
+
+// Where no window is told there is no rule on cold servers, and they serve like others.
+func TestColdServerWithoutARuleServes(t *testing.T) {
+	s := testSettings()
+	s.FallWindow = 0
+	n := started(t, s, 1)
+	n.Handle(time.Minute, ListEvent{Kind: ListFull, Version: 2, Servers: []Server{{ID: "s99", Weight: 1, Since: time.Minute}}})
+	if sent := sends(n.Handle(time.Minute, Arrival{ID: "a", Key: "k", Left: time.Second})); len(sent) != 1 {
+		t.Errorf("a cold server without a rule got %v", sent)
+	}
+}
+
+// The quotas are of the fleet at its largest. Sixteen nodes of one that has shrunk from ten hosts to three took a host that
+// came back cold for good for a third of them, and sent it five times what it could bear.
+func TestAShrunkFleetKeepsAColdServersBudget(t *testing.T) {
+	const nodes, quota = 16, 417.0
+	set, sent, part := testSettings(), 0, 0.0
+	set.WarmWithin, set.FallWindow = 20*time.Second, 2*time.Second
+	for i := range nodes {
+		s := set
+		s.Seed, s.Index, s.GroupSize, s.Tenants = uint64(i)+1, i, nodes, []Tenant{{Connections: quota}}
+		n := started(t, s, 10)
+		part = quota * fleetOf(1)[0].Weight / n.weight
+		rows := fleetOf(3)
+		rows[0].Since = time.Minute
+		n.Handle(time.Minute, ListEvent{Kind: ListFull, Version: 2, Servers: rows})
+		for c := range 60 {
+			id := RequestID(fmt.Sprint(c))
+			for _, to := range sends(n.Handle(time.Minute+time.Duration(c)*ms, Arrival{ID: id, Key: fmt.Sprint(i, id), Left: time.Second})) {
+				if to.Server == rows[0].ID {
+					sent++
+				}
+			}
+		}
+	}
+	// Each node rounds its share by chance: four standard deviations of sixteen such chances.
+	if most := set.FallMultiple*part*set.FallWindow.Seconds()/set.WarmWithin.Seconds() + 8; float64(sent) > most || sent < 4 {
+		t.Errorf("%d connections to a cold server in one window, 4 to %.1f would do", sent, most)
+	}
+}
--- /dev/null
+++ b/internal/node/list_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+func TestCompleteListDropsWhatItLacks(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.take(event{kind: evList, list: &wire.Catalog{Revision: 8, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}})
+	if n.members["s1"].state != brain.Gone || n.members["s2"].state != brain.Live || n.revision != 8 {
+		t.Errorf("s1 %v, s2 %v, revision %d", n.members["s1"].state, n.members["s2"].state, n.revision)
+	}
+	n.members["s1"].toldAt = time.Now().Add(-2 * forgetAfter)
+	n.list(&wire.Catalog{Revision: 9}, brain.ListChange, false)
+	if n.members["s1"] != nil {
+		t.Error("a host gone for long is kept")
+	}
+}
+
+// A member without an address can't be sent to: the module must hear that nothing was passed on.
+func TestMemberWithoutAnAddressIsNeverPassed(t *testing.T) {
+	m := entry("s1", wire.Serving)
+	m.Addr = ""
+	n, _, _ := held(t, m)
+	if p := arrive(t, n, "r"); p.heard() != "refuse true" || n.Owed() != 0 {
+		t.Errorf("%s; %d owed", p.heard(), n.Owed())
+	}
+	if p := arrive(t, n, "q"); p.heard() != "refuse true" || len(n.reqs) != 0 {
+		t.Errorf("%s; %d kept", p.heard(), len(n.reqs))
+	}
+}
+
+func TestListEventsAndWatches(t *testing.T) {
+	set := testSettings()
+	set.AskWithin = time.Millisecond // the module asks within a twentieth of it
+	w := &world{}
+	n := New(set, wire.Catalog{Revision: 7}, "d:1", w, zap.NewNop())
+	time.Sleep(time.Millisecond)
+	n.decide(brain.Timer{Token: "sweep"})
+	if len(w.watches) != 1 || w.watches[0] != (Call{1, "d:1", 7}) {
+		t.Fatalf("watches %v, want one from version 7", w.watches)
+	}
+	n.take(event{kind: evList, call: 1, list: &wire.Catalog{Revision: 9, Members: []wire.Member{entry("s2", wire.Serving)}}})
+	if n.revision != 9 || n.members["s2"] == nil {
+		t.Errorf("revision %d", n.revision)
+	}
+}
+
+// Another discovery is asked for the whole list, the versions of the old one mean nothing there, and the module
+// sees neither a failure nor an empty fleet until the new list is there.
+func TestFollowingAnotherDiscovery(t *testing.T) {
+	n, w, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.watch()
+	serves := func(when string) {
+		t.Helper()
+		if p := arrive(t, n, when); !strings.HasPrefix(p.heard(), "send 0 ") {
+			t.Errorf("%s: %q", when, p.heard())
+		}
+	}
+	n.take(event{kind: evFollow, text: "d:2"})
+	n.take(event{kind: evFollow, text: "d:3"})
+	if want := (Call{3, "d:3", Whole}); len(w.watches) != 3 || w.watches[2] != want {
+		t.Fatalf("asked %v, want %v last", w.watches, want)
+	}
+	n.take(event{kind: evWatchFailed, call: 1})
+	n.take(event{kind: evWatchFailed, call: 2})
+	serves("the-old-watch-has-ended")
+	// What the old one wrote was told and holds, its version does not.
+	n.take(event{kind: evList, call: 1, list: &wire.Catalog{Revision: 900, Members: []wire.Member{entry("s1", wire.Draining)}}})
+	if n.revision != Whole || n.members["s1"].state != brain.Draining {
+		t.Errorf("revision %d, s1 %v", n.revision, n.members["s1"].state)
+	}
+	n.take(event{kind: evWatchFailed, call: 3})
+	n.watch()
+	if got := w.watches[len(w.watches)-1]; got != (Call{4, "d:3", Whole}) {
+		t.Errorf("after a failure asked %v", got)
+	}
+	n.take(event{kind: evList, call: 4, list: &wire.Catalog{Revision: 2, Complete: true,
+		Members: []wire.Member{entry("s1", wire.Serving)}}})
+	n.watch()
+	if got := w.watches[len(w.watches)-1]; got != (Call{5, "d:3", 2}) {
+		t.Errorf("after the list asked %v", got)
+	}
+	if n.members["s2"].state != brain.Gone || n.members["s1"].state != brain.Live {
+		t.Error("the whole list does not hold")
+	}
+	serves("with-the-new-list")
+}
+
+// Sites that need not be asked have no module that asks: the node watches by itself, and again.
+func TestPushSitesAreWatchedAgain(t *testing.T) {
+	n, w, _ := held(t)
+	n.set.AskList = false
+	n.watch()
+	n.take(event{kind: evWatchFailed, call: 1})
+	n.pulse(time.Now())
+	if len(w.watches) != 1 {
+		t.Fatal("watched again at once")
+	}
+	n.pulse(time.Now().Add(time.Second))
+	n.pulse(time.Now().Add(2 * time.Second))
+	if len(w.watches) != 2 {
+		t.Errorf("%d watches, want 2", len(w.watches))
+	}
+}
+
+// A watch that is refused in the moment in which discovery is named anew, on either side of that: the new one is asked for
+// the whole list, the refusal of the old one is none of its, and nothing is asked twice once its list is there.
+func TestAWatchRefusedAsDiscoveryIsNamedAnew(t *testing.T) {
+	refused, named := event{kind: evWatchFailed, call: 1}, event{kind: evFollow, text: "new:1"}
+	for name, order := range map[string][]event{"refused first": {refused, named}, "named first": {named, refused}} {
+		for _, ask := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, asked for %v", name, ask), func(t *testing.T) {
+				n, w, _ := held(t, entry("s1", wire.Serving))
+				n.set.AskList = ask
+				n.watch()
+				for _, e := range order {
+					n.take(e)
+				}
+				if last := w.watches[len(w.watches)-1]; len(w.watches) != 2 || last.Addr != "new:1" || last.After != Whole {
+					t.Fatalf("calls %v", w.watches)
+				}
+				list := wire.Catalog{Revision: 3, Complete: true, Members: []wire.Member{entry("s2", wire.Serving)}}
+				n.take(event{kind: evList, call: 2, list: &list})
+				n.take(refused)
+				n.pulse(time.Now().Add(time.Minute))
+				if len(w.watches) != 2 || n.revision != 3 {
+					t.Errorf("calls %v, revision %d", w.watches, n.revision)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/pings_test.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxstream/brain"
+	"onyxstream/internal/wire"
+)
+
+// A host that is cut off says nothing and breaks nothing; its clients must be sent away, and long before the
+// seven seconds are over.
+func TestSilentHostsClientsAreMovedOnce(t *testing.T) {
+	n, _, logs := held(t, entry("s1", wire.Serving))
+	n.slowFrom = 0 // slow messages are not what this is about
+	p, q := up(t, n, "r"), up(t, n, "q")
+	p.pulse = MessageStats{Waiting: silence + time.Millisecond}
+	q.pulse = MessageStats{Waiting: silence - time.Millisecond}
+	n.pulse(time.Now())
+	if strings.Contains(p.heard(), "move") {
+		t.Error("moved at the first sign, which a node that stood still itself sees at every host")
+	}
+	p.pulse = MessageStats{}
+	n.pulse(time.Now())
+	p.pulse = MessageStats{Waiting: silence + time.Millisecond}
+	n.pulse(time.Now())
+	if strings.Contains(p.heard(), "move") {
+		t.Error("moved though the host had answered in between")
+	}
+	n.pulse(time.Now())
+	n.pulse(time.Now())
+	if strings.Count(p.heard(), "move") != 1 || strings.Contains(q.heard(), "move") || logs.FilterMessageSnippet("says nothing").Len() != 1 {
+		t.Errorf("silent: %s; well: %s", p.heard(), q.heard())
+	}
+}
+
+// The module is told as the simulator tells it: of the middle message of a second while that is over a
+// third of the shortest aim, and once more when it is under. One slow message among many is no news.
+func TestSlowNotesFollowTheMiddleMessage(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	ports := []*port{up(t, n, "r0"), up(t, n, "r1"), up(t, n, "r2")}
+	m := n.members["s1"]
+	second := func(took ...time.Duration) {
+		for i, p := range ports {
+			if took[i] > 0 {
+				p.pulse.Answered++
+				p.pulse.Took = took[i]
+			}
+		}
+		for range noteEvery {
+			n.pulse(time.Now())
+		}
+	}
+	for i, c := range []struct {
+		took []time.Duration
+		slow bool
+	}{
+		{[]time.Duration{1e6, 1e6, 90e6}, false},
+		{[]time.Duration{1e6, 30e6, 90e6}, true},
+		{[]time.Duration{0, 0, 0}, true}, // nothing was said, so nothing is new
+		{[]time.Duration{1e6, 2e6, 90e6}, false},
+	} {
+		if second(c.took...); m.slow != c.slow || len(m.took) != 0 {
+			t.Errorf("second %d: slow %v, want %v; %d figures kept", i, m.slow, c.slow, len(m.took))
+		}
+	}
+	for _, p := range ports { // all three: the module may have sent some away for the slow second
+		p.pulse.Waiting = 40 * time.Millisecond
+	}
+	if second(0, 0, 0); !m.slow {
+		t.Error("messages that wait for their answer are no news")
+	}
+}
+
+// A host answers lines at once however much is piled up there; where probes are allowed a ping tells, and one
+// without an answer tells by how long it waits.
+func TestPingsTellWhatAMessageTakes(t *testing.T) {
+	n, w, _ := held(t, entry("s1", wire.Serving), entry("s2", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	p := up(t, n, "r")
+	on := n.reqs["r"].on
+	if len(w.pings) != 1 || w.pings[0] != on.id {
+		t.Fatalf("pings %v with a first connection, want one to its host", w.pings)
+	}
+	n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: 80 * time.Millisecond})
+	w.pings = nil
+	p.pulse = MessageStats{Answered: 1, Took: time.Millisecond}
+	now := time.Now()
+	second := func() {
+		for range noteEvery {
+			now = now.Add(tickEvery)
+			n.pulse(now)
+		}
+	}
+	second()
+	if second(); len(w.pings) != 1 || w.pings[0] != on.id {
+		t.Fatalf("pings %v in two seconds, want one to the host where a client stands", w.pings)
+	}
+	pinged := func(took time.Duration) {
+		n.take(event{kind: evPinged, id: brain.RequestID(on.id), took: took})
+	}
+	// A host far away takes long to answer at its best too.
+	pinged(70 * time.Millisecond)
+	second()
+	second()
+	if pinged(75 * time.Millisecond); on.slow || on.doubt > 0 {
+		t.Error("the way to a host counts as its message time")
+	}
+	pinged(2 * time.Millisecond) // its best
+	for _, c := range []struct {
+		first, again time.Duration
+		slow         bool
+	}{
+		{3 * time.Millisecond, 0, false},                     // jitter
+		{30 * time.Millisecond, 2 * time.Millisecond, false}, // a hiccup of this machine
+		{7 * time.Millisecond, 6 * time.Millisecond, true},   // three times slower than at its best
+		{5 * time.Millisecond, 0, true},                      // still slow
+		{3 * time.Millisecond, 0, false},                     // well again
+		{30 * time.Millisecond, 30 * time.Millisecond, true}, // slow by any measure
+	} {
+		second()
+		second()
+		before := len(w.pings)
+		pinged(c.first)
+		if (len(w.pings) > before) != (c.again > 0) {
+			t.Errorf("after %v: asked again %v", c.first, len(w.pings) > before)
+		}
+		if c.again > 0 {
+			pinged(c.again)
+		}
+		if on.slow != c.slow {
+			t.Errorf("after %v and %v: slow %v", c.first, c.again, on.slow)
+		}
+	}
+	n.reqs["r"].leaving = false // the module has moved it: have it back
+	before := len(w.pings)
+	if second(); len(w.pings) != before+1 {
+		t.Errorf("%d pings a second after a slow one, want 1", len(w.pings)-before)
+	}
+	pinged(2 * time.Millisecond)
+	second()
+	second()
+	pinged(-1)
+	if second(); on.slow {
+		t.Error("a host that could not be asked counts as slow")
+	}
+	for range 4 {
+		second()
+	}
+	if !on.slow {
+		t.Error("a ping without an answer is no news")
+	}
+	n.list(&wire.Catalog{Members: []wire.Member{{ID: string(on.id), UpSince: 5, Size: 1}}}, brain.ListChange, false)
+	if on.best != 0 {
+		t.Error("a host that has restarted is measured by what it was")
+	}
+}
+
+// Where no descriptor is left for a ping, its host is not asked: that is no news of it, and it does not pass for silent.
+func TestAPingThatIsNotSentSaysNothing(t *testing.T) {
+	n, w, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	w.full = true
+	p := up(t, n, "r")
+	for range 8 * noteEvery {
+		n.pulse(time.Now())
+	}
+	if on := n.reqs["r"].on; on.slow || strings.Contains(p.heard(), "move") {
+		t.Errorf("slow %v; %s", on.slow, p.heard())
+	}
+	w.full = false
+	for range 2 * noteEvery {
+		n.pulse(time.Now())
+	}
+	if len(w.pings) != 1 {
+		t.Errorf("%d pings once there is room, want 1", len(w.pings))
+	}
+}
+
+// A host that has slowed to an eighth is asked four times what it can do if it was half used: four fifths
+// of its clients are to leave at once, not a sixth.
+func TestFirstNoteOfASlowedHostTellsOfThePile(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	var ports []*port
+	for i := range 20 {
+		ports = append(ports, up(t, n, fmt.Sprint("r", i)))
+	}
+	for range noteEvery {
+		n.pulse(time.Now())
+	}
+	for _, took := range []time.Duration{3, 24, 24} {
+		n.take(event{kind: evPinged, id: "s1", took: took * time.Millisecond})
+	}
+	moved := 0
+	for _, p := range ports {
+		moved += strings.Count(p.heard(), "move")
+	}
+	if moved < 15 || moved > 17 {
+		t.Errorf("%d of 20 moved, want four fifths", moved)
+	}
+}
+
+// What passes for jitter must not hide a crowd at a fast host, whose pings are short at twice and more of their best.
+func TestACrowdAtAFastHostIsNoJitter(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	up(t, n, "r")
+	m := n.members["s1"]
+	m.some = "r"
+	for _, c := range []struct {
+		micros time.Duration
+		slow   bool
+	}{{1000, false}, {2100, false}, {2500, false}, {2500, true}, {2100, false}} {
+		if n.pinged(m, c.micros*time.Microsecond); m.slow != c.slow {
+			t.Errorf("after %v: slow %v", c.micros*time.Microsecond, m.slow)
+		}
+	}
+}
+
+// A host that stays at 2.5 times its best is asked more than it can do each second anew: shedding a seventh of the
+// rest a second would let it stay so, and it gives up a third.
+func TestAHostThatStaysSlowPilesUpMoreEachSecond(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	n.set.TellsDelay, n.set.MayProbe = true, true
+	up(t, n, "r")
+	n.pulse(time.Now())
+	m := n.members["s1"]
+	m.some = "r"
+	for i, c := range []struct{ took, pile time.Duration }{{4, 0}, {10, 0}, {10, 250}, {10, 500}, {10, 750}, {7, 625}, {4, 0}} {
+		n.pinged(m, c.took*time.Millisecond)
+		if m.pile != c.pile*time.Millisecond {
+			t.Errorf("ping %d: %v piled up, want %v", i, m.pile, c.pile*time.Millisecond)
+		}
+	}
+}
+
+func TestMoveAllSpreadsOverTheTime(t *testing.T) {
+	n, _, _ := held(t, entry("s1", wire.Serving))
+	var ports []*port
+	for i := range 20 {
+		ports = append(ports, up(t, n, fmt.Sprint("r", i)))
+	}
+	moved := func() (k int) {
+		for _, p := range ports {
+			k += strings.Count(p.heard(), "move")
+		}
+		return k
+	}
+	now := time.Now()
+	n.take(event{kind: evMoveAll, until: now.Add(4 * tickEvery)})
+	for i := range 4 {
+		n.pulse(now.Add(time.Duration(i) * tickEvery))
+		if i == 0 && (moved() == 0 || moved() > 6) {
+			t.Errorf("%d of 20 moved at the first of four turns", moved())
+		}
+	}
+	if moved() != 20 {
+		t.Errorf("%d of 20 moved, each once", moved())
+	}
+}
