A reload that can't be read is tried again, and a start waits for its listeners

Cause: see the failing tests; one reading a signal, and one try of each listener. Change: lifecycle/reload.go reads again each 0.1 s, for 3 s after the signal, and logs each error once; lifecycle/scarce.go opens the clients', the operators' and the control listeners again each 50 ms while the system says that it lacks descriptors, buffers or memory, for 8 s at most or until the node is told to stop. An address that is taken, or none of this machine's, ends the start at once as before. Measured: the three and the older tests of reloads 2 of 2, internal/lifecycle passed under the race detector.

--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -81,18 +81,19 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l, err := listen(ctx, cfg.Listen)
+	l, err := whileScarce(stop, log, func() (*listener, error) { return listen(ctx, cfg.Listen) })
 	if err != nil {
 		return err
 	}
-	asked, err := own.Control.listeners(conns, log)
+	asked, err := whileScarce(stop, log, func() ([]control.Listener, error) { return own.Control.listeners(conns, log) })
 	if err != nil {
 		l.Close()
 		return fmt.Errorf("control: %w", err)
 	}
 	var operators net.Listener
 	if cfg.Management != "" {
-		if operators, err = driver.Listen(ctx, cfg.Management); err != nil {
+		operators, err = whileScarce(stop, log, func() (net.Listener, error) { return driver.Listen(ctx, cfg.Management) })
+		if err != nil {
 			l.Close()
 			return fmt.Errorf("management: %w", err)
 		}
@@ -154,31 +155,6 @@
 	return g.Wait()
 }
 
-// follow reads the configuration again with each signal, also while the node drains. Signals that come meanwhile
-// are one more reading. Connections notice nothing of it.
-func follow(ctx context.Context, again <-chan os.Signal, cfg Config, n *node.Node, log *zap.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-again:
-		}
-		next, left, err := cfg.Reload()
-		if err != nil {
-			log.Error("the configuration stays as it was", zap.Error(err))
-			continue
-		}
-		for _, field := range left {
-			log.Warn("a field of the configuration can't change before a restart: left as it was", zap.String("field", field))
-		}
-		log.Info("the configuration was read again", zap.String("discovery", next.Discovery))
-		if next.Discovery != cfg.Discovery {
-			n.Follow(next.Discovery)
-		}
-		cfg = next
-	}
-}
-
 // drain goes on serving until the front has noticed, since begin, and nothing is owed, open or in the middle of its first
 // line, or the time is up. Where packets
 // pass through, what is open goes on here for as long as that, and then by way of other nodes, one of which may just
