A check at run time counts what one node sends a cold host past every node's budget

Cause: slow start was the one rule with a guard and no check behind it: what all nodes send is not known at one of them. Change: invariant.CheckSlowStart counts a line with which this node alone is over what the settings allow all nodes, chance allowed for by the operators' own formula; node keeps the times of its lines to cold hosts for one FallWindow. It finds what is broken for certain, on fleets of few nodes above all, and says nothing where the settings tell no quotas. Reason and count appear with the others, in the log and in the status of the control listener.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"onyxstream/brain"
@@ -23,11 +24,12 @@
 	NotAnswered                  // a request was read, and its connection ended without a final answer
 	AnsweredTwice                // a request had a second final answer
 	AnsweredLate                 // a final answer came too long after the client's time
+	OverSlowStart                // this node alone sent a cold host more than all nodes together may
 	rules
 )
 
 var names = [rules]string{"sent to drained", "repeated unsafely", "second copy", "begun for leaver", "not answered",
-	"answered twice", "answered late"}
+	"answered twice", "answered late", "over slow start"}
 
 func (r Rule) String() string { return names[r] }
 
@@ -101,6 +103,26 @@
 	return Violation{BegunForLeaver, request, host, by}, !left.IsZero() && by > 0
 }
 
+const (
+	// smallBudget is the budget of a cold host under which chance is allowed for more generously.
+	smallBudget = 30
+)
+
+// SlowStartLimit is how many requests of mean work a cold host may get in the time in which it falls: budget is what the
+// settings allow it then, and chance is allowed for.
+func SlowStartLimit(budget float64) float64 {
+	if budget < smallBudget {
+		return budget + 3*math.Sqrt(budget) + 3
+	}
+	return budget + 2*math.Sqrt(budget) + 2
+}
+
+// CheckSlowStart finds whether one node alone sent a cold host more than all may in that time. What all sent is not known
+// here: a node that breaks this breaks the rule for certain, one that does not may still take part in it.
+func CheckSlowStart(request, host string, sent int, budget float64) (Violation, bool) {
+	return Violation{OverSlowStart, request, host, 0}, float64(sent) > SlowStartLimit(budget)
+}
+
 // Ending is a client's connection that has ended, or one that has had its final answer.
 type Ending struct {
 	Request, Host string
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -114,3 +114,16 @@
 		}
 	}
 }
+
+func TestCheckSlowStart_SmallAndLargeBudgets(t *testing.T) {
+	for _, c := range []struct {
+		budget float64
+		sent   int
+		found  bool
+	}{{1, 7, false}, {1, 8, true}, {25, 43, false}, {25, 44, true}, {100, 122, false}, {100, 123, true}} {
+		v, found := CheckSlowStart("r", "h", c.sent, c.budget)
+		if found != c.found || v.Rule != OverSlowStart {
+			t.Errorf("%d sent with a budget of %g: %v, found %v", c.sent, c.budget, v, found)
+		}
+	}
+}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,6 +70,47 @@
 		s.OthersOut++
 	}
 	n.monitor.Report(invariant.CheckSend(s)...)
+	n.checkSlowStart(string(e.id), r.on, e.at)
+}
+
+// maxSentCold bounds the sends to one cold host that are remembered.
+const maxSentCold = 4096
+
+// checkSlowStart checks what this node alone has sent a cold host of late against what the settings allow all nodes.
+func (n *Node) checkSlowStart(request string, m *member, at time.Time) {
+	age := n.at(at) - m.start
+	if m.start <= 0 || age >= n.set.WarmWithin || n.set.FallWindow <= 0 {
+		m.sentCold = nil
+		return
+	}
+	budget := n.slowStartBudget(m, age)
+	if budget <= 0 { // the settings tell no quotas: what a host bears is not known
+		return
+	}
+	m.sentCold = slices.DeleteFunc(m.sentCold, func(t time.Time) bool { return at.Sub(t) >= n.set.FallWindow })
+	if len(m.sentCold) < maxSentCold {
+		m.sentCold = append(m.sentCold, at)
+	}
+	if broken, found := invariant.CheckSlowStart(request, string(m.id), len(m.sentCold), budget); found {
+		n.monitor.Report(broken)
+	}
+}
+
+// slowStartBudget is what a host of an age may get in a FallWindow from all nodes, by its size among those listed: as much as
+// fills it with its part of the tenants' quotas over its warm-up, FallMultiple times, and more from half warm on.
+func (n *Node) slowStartBudget(m *member, age time.Duration) float64 {
+	quota, sizes := 0.0, 0.0
+	for _, t := range n.set.Tenants {
+		quota += t.Connections
+	}
+	for _, other := range n.members {
+		if !other.out {
+			sizes += cmp.Or(max(other.listed.Size, 0), 1)
+		}
+	}
+	share := n.set.ColdShare + (1-n.set.ColdShare)*float64(age)/float64(n.set.WarmWithin)
+	part := quota * cmp.Or(max(m.listed.Size, 0), 1) / max(sizes, 1)
+	return n.set.FallMultiple * part * max(1, 2*share) * n.set.FallWindow.Seconds() / n.set.WarmWithin.Seconds()
 }
 
 // gaveUp notes why a request is refused or failed.
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -67,3 +67,29 @@
 		}
 	}
 }
+
+// What a node sends a cold host past what all nodes may is counted, by the time in which the host falls, and nothing is of a
+// host that is warm.
+func TestWritten_OverSlowStart_IsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		age   time.Duration
+		apart time.Duration // between two lines
+		want  bool
+	}{{"at once", 0, 0, true}, {"spread", 0, 200 * time.Millisecond, false}, {"warm", time.Hour, 0, false}} {
+		n, _, _ := held(t, entry("a", wire.Serving))
+		n.set.Tenants = []brain.Tenant{{Connections: 5}}
+		n.set.WarmWithin = 10 * time.Second
+		arrive(t, n, "r")
+		r, now := n.reqs["r"], time.Now()
+		r.on.start = n.at(now) - c.age
+		budget := n.slowStartBudget(r.on, c.age)
+		lines := int(invariant.SlowStartLimit(budget)) + 1
+		for i := range lines {
+			n.written(event{kind: evWritten, id: "r", at: now.Add(time.Duration(i) * c.apart)}, r)
+		}
+		if got := n.Monitor().Count(invariant.OverSlowStart) > 0; got != c.want {
+			t.Errorf("%s: %d lines with a budget of %.1f, found %v", c.name, lines, budget, got)
+		}
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -20,6 +20,8 @@
 	toldAt time.Time   // when it was told to drain or be gone
 	listed wire.Member // as the list has it
 	out    bool        // the list does not have it any more
+	// sentCold is when it was sent something within the last FallWindow, while it is cold; in order.
+	sentCold []time.Time
 
 	// How messages fare there, see pulse.
 	took   []time.Duration
