--- a/internal/handover/unreadable_test.go
+++ b/internal/handover/unreadable_test.go
@@ -3,33 +3,18 @@
 import (
 	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
+
+	"onyxstream/internal/sysfault"
 )
 
 // withDescriptors runs f while this process may open only so many more descriptors at a time.
 func withDescriptors(t *testing.T, more uint64, f func()) {
 	t.Helper()
-	null, err := os.Open(os.DevNull)
-	if err != nil {
-		t.Fatal(err)
-	}
-	free := uint64(null.Fd())
-	_ = null.Close()
-	var was syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+	if err := sysfault.WithDescriptors(more, f); err != nil {
 		t.Fatal(err)
 	}
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: free + more, Max: was.Max}); err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
-			t.Fatal(err)
-		}
-	}()
-	f()
 }
 
 // A document that can't be opened for a moment is read once it can be. It passed for read: what another process was told
