--- a/internal/lifecycle/coldstart.go
+++ b/internal/lifecycle/coldstart.go
@@ -178,8 +178,13 @@
 func (c *ColdStart) pull(ctx context.Context, n *node.Node, rng *rand.Rand, log *zap.Logger) error {
 	var own *keys.Keeper
 	if c.Keys != nil {
+		open := func() (*keys.Keeper, error) {
+			return keys.Open(*c.Keys, func(err error) { log.Error("renewed keys can't be taken", zap.Error(err)) })
+		}
 		var err error
-		if own, err = keys.Open(*c.Keys, func(err error) { log.Error("renewed keys can't be taken", zap.Error(err)) }); err != nil {
+		if own, err = whileScarce(ctx, log, open); ctx.Err() != nil {
+			return nil
+		} else if err != nil {
 			return fmt.Errorf("coldstart: %w", err)
 		}
 	}
--- a/internal/lifecycle/pull_test.go
+++ b/internal/lifecycle/pull_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"onyxstream/internal/coldstart"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/sysfault"
 )
@@ -16,6 +17,8 @@
 // Asking others for their list must not end the node where its keys can't be read for a moment.
 func TestPull_KeysCantBeReadForAMoment_GoesOn(t *testing.T) {
 	_, n := stuck(t)
+	n.Cold(coldstart.New(coldstart.Config{Nodes: 2, AskWithin: time.Second, Service: "s"}, rand.New(rand.NewPCG(1, 2)), 0, coldstart.Nowhere,
+		coldstart.Offer{}), "s")
 	dir := t.TempDir()
 	if err := keys.Create(dir, "test"); err != nil {
 		t.Fatal(err)
@@ -26,6 +29,7 @@
 	files := &keys.Files{Cert: filepath.Join(dir, "n1.crt"), Key: filepath.Join(dir, "n1.key"), Authority: filepath.Join(dir, "authority.crt")}
 	cold := &ColdStart{Keys: files, Peers: []Other{{Addr: "127.0.0.1:1", Name: "n2"}}}
 	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	done := make(chan error, 1)
 	limit := func() {
 		go func() { done <- cold.pull(ctx, n, rand.New(rand.NewPCG(1, 2)), zap.NewNop()) }()
