--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +17,7 @@
 	"onyxstream/internal/control"
 	"onyxstream/internal/fleet"
 	"onyxstream/internal/keys"
+	"onyxstream/internal/syserr"
 )
 
 // Config is the agent's file.
@@ -392,13 +391,6 @@
 	}
 }
 
-// scarceErrors are those of a read that the system could not make for now.
-var scarceErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EIO}
-
-func isScarce(err error) bool {
-	return slices.ContainsFunc(scarceErrors, func(scarce error) bool { return errors.Is(err, scarce) })
-}
-
 // reread takes in the inventory where its file has changed.
 func (a *Agent) reread(ctx context.Context) {
 	now := stamp(a.cfg.Inventory)
@@ -406,7 +398,7 @@
 		return
 	}
 	inv, err := ReadInventory(a.cfg.Inventory)
-	if isScarce(err) { // it says nothing of the file: the next look reads it again
+	if syserr.ReadFailed(err) { // it says nothing of the file: the next look reads it again
 		a.log.Warn("the inventory can't be read now", zap.Error(err))
 		return
 	}
--- a/internal/driver/attempt.go
+++ b/internal/driver/attempt.go
@@ -5,12 +5,11 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
-	"syscall"
 	"time"
 
 	"onyxstream/brain"
 	"onyxstream/internal/node"
+	"onyxstream/internal/syserr"
 	"onyxstream/internal/wire"
 )
 
@@ -71,13 +70,9 @@
 	return brain.Reset
 }
 
-// localErrors are those of a dial, or of the line's write, that this machine could not make: it lacks descriptors, memory or
-// ports for a moment.
-var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
-
 // isLocal reports whether a dial or a write failed for want of something on this machine: that says nothing of the host.
 func isLocal(err error) bool {
-	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+	return syserr.LacksResources(err) || syserr.LacksAddress(err)
 }
 
 // permit is what an attempt is held to by its connection.
--- a/internal/driver/closing.go
+++ b/internal/driver/closing.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"onyxstream/internal/syserr"
 	"onyxstream/internal/wire"
 )
 
@@ -85,7 +86,7 @@
 		switch {
 		case err == unix.EINTR:
 			continue
-		case lacksMemory(err) && retries < retriesAtOnce:
+		case syserr.LacksMemory(err) && retries < retriesAtOnce:
 			retries++
 			continue
 		case err == unix.EAGAIN:
--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -102,6 +102,7 @@
 		{syscall.ENOBUFS, brain.NeverPassed},
 		{syscall.ENOMEM, brain.NeverPassed},
 		{syscall.EADDRNOTAVAIL, brain.NeverPassed},
+		{syscall.EADDRINUSE, brain.NeverPassed},
 		{syscall.ECONNREFUSED, brain.NoConnect},
 		{syscall.EHOSTUNREACH, brain.NoConnect},
 		{syscall.ENETUNREACH, brain.NoConnect},
--- a/internal/driver/leaving.go
+++ b/internal/driver/leaving.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"onyxstream/internal/syserr"
 	"onyxstream/internal/wire"
 )
 
@@ -24,7 +25,7 @@
 func (c *conn) look(in *wire.Inbox) bool {
 	n, err := arrived(c.client, in.Space())
 	in.Fed(n)
-	if err == nil || lacksMemory(err) { // the latter tells nothing
+	if err == nil || syserr.LacksMemory(err) { // the latter tells nothing
 		return true
 	}
 	c.left(err)
--- a/internal/driver/retry.go
+++ b/internal/driver/retry.go
@@ -1,9 +1,8 @@
 package driver
 
 import (
-	"errors"
 	"net"
-	"syscall"
+	"onyxstream/internal/syserr"
 	"time"
 )
 
@@ -19,17 +18,12 @@
 	retriesAtOnce = 8
 )
 
-// lacksMemory reports whether an error says that the system had no memory for a call, and nothing of the connection.
-func lacksMemory(err error) bool {
-	return errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
-}
-
 // retrying makes a call again while it fails for want of memory.
 func retrying(call func() error) error {
 	var begin time.Time
 	for {
 		err := call()
-		if !lacksMemory(err) {
+		if !syserr.LacksMemory(err) {
 			return err
 		}
 		if begin.IsZero() {
@@ -46,7 +40,7 @@
 func readSome(c net.Conn, into []byte) (n int, err error) {
 	err = retrying(func() error {
 		n, err = c.Read(into)
-		if n > 0 && lacksMemory(err) {
+		if n > 0 && syserr.LacksMemory(err) {
 			return nil
 		}
 		return err
--- a/internal/lifecycle/scarce.go
+++ b/internal/lifecycle/scarce.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"onyxstream/internal/ctxtime"
+	"onyxstream/internal/syserr"
 )
 
 const (
@@ -19,16 +17,12 @@
 	scarceWithin = 8 * time.Second
 )
 
-// scarceErrors say that the system lacks descriptors, buffers or memory for now. Anything else is wrong for good.
-var scarceErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
-
 // whileScarce makes a call again while it fails for want of something that the system may have a moment later. The context
 // ends that, with the call's last error.
 func whileScarce[T any](ctx context.Context, log *zap.Logger, call func() (T, error)) (T, error) {
 	for begin, told := time.Now(), false; ; {
 		result, err := call()
-		scarce := slices.ContainsFunc(scarceErrors, func(e error) bool { return errors.Is(err, e) })
-		if !scarce || time.Since(begin) > scarceWithin {
+		if !syserr.LacksResources(err) || time.Since(begin) > scarceWithin {
 			return result, err
 		}
 		if !told {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"onyxstream/internal/syserr"
 	"onyxstream/internal/wire"
 )
 
@@ -198,14 +199,7 @@
 const readSize = 256
 
 // own says that an error is the generator's: its descriptors, ports or memory are used up.
-func own(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRINUSE} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
+func own(err error) bool { return syserr.LacksResources(err) || syserr.LacksAddress(err) }
 
 // opening is a connection's first line.
 func (e *engine) opening(r *Request, id, mark string, deadline time.Duration) string {
