A connection whose goroutine fails before its first line ends alone

Cause: found by going through the goroutines without a recover: drive, upward, pings and discovery have one, the part of serve before drive (first line, admission) had none, so that a panic there would have ended the process with all its clients. No input is known that causes one; the parsers are fuzzed.

--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -141,3 +141,21 @@
 		t.Error("its lines are not read on")
 	}
 }
+
+// A connection whose goroutine fails before its first line is whole ends alone: the process and its other clients go on, and
+// its place is free again.
+func TestStart_GoroutinePanics_EndsAlone(t *testing.T) {
+	r := newRig(t, zap.NewNop(), false)
+	_, server := pair(t)
+	c := r.d.newConn(server, time.Now())
+	r.d.mu.Lock()
+	c.early = r.d.early.PushBack(c)
+	r.d.start(c, func() { panic("a parser's") })
+	r.d.mu.Unlock()
+	r.d.clients.Wait()
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if len(r.d.conns) > 0 || r.d.early.Len() > 0 {
+		t.Errorf("%d connections and %d places are left", len(r.d.conns), r.d.early.Len())
+	}
+}
