--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -56,10 +57,26 @@
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintln(errs, "onyxstream:", err)
+	lastWords(errs, fmt.Sprintln("onyxstream:", err))
 	return code(err)
 }
 
+// lastWordsWithin is how long a command that failed waits for somebody to take its error.
+const lastWordsWithin = time.Second
+
+// lastWords writes why a command failed, and waits no longer than that for it: the process must end though nobody reads.
+func lastWords(errs io.Writer, text string) {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = io.WriteString(errs, text)
+	}()
+	select {
+	case <-written:
+	case <-time.After(lastWordsWithin):
+	}
+}
+
 func code(err error) int {
 	var s *status
 	var file *conf.Error
