--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -106,7 +106,7 @@
 			if ms, err = figure(value); err == nil && !(ms > 0 && ms <= float64(maxWait.Milliseconds())) {
 				err = errors.New("out of range")
 			}
-			o.Wait = time.Duration(math.Round(ms*1000)) * time.Microsecond
+			o.Wait = time.Duration(math.Ceil(ms*1000)) * time.Microsecond // never 0, which stands for a time that is not said
 			o.from, o.to = at+len("d="), at+len(pair)
 		case "h":
 			if o.Load, err = figure(value); err == nil && !(o.Load < math.MaxFloat64) {
