--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,34 +13,34 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/fleet"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/syserr"
+	"onyxstream/internal/tomlfile"
 )
 
 // Config is the agent's file.
 type Config struct {
-	Inventory string        `toml:"inventory"` // the file of instances
-	Store     string        `toml:"store"`     // the file of operations
-	Socket    string        `toml:"socket"`    // where the command line asks
-	Every     conf.Duration `toml:"every"`     // how often each instance is asked; 1s where it is 0
-	Keys      *keys.Files   `toml:"keys"`      // for instances that are reached by TLS
+	Inventory string            `toml:"inventory"` // the file of instances
+	Store     string            `toml:"store"`     // the file of operations
+	Socket    string            `toml:"socket"`    // where the command line asks
+	Every     tomlfile.Duration `toml:"every"`     // how often each instance is asked; 1s where it is 0
+	Keys      *keys.Files       `toml:"keys"`      // for instances that are reached by TLS
 }
 
 // Check fills in defaults and says what is wrong.
 func (c *Config) Check() error {
 	for _, f := range []struct{ name, v string }{{"inventory", c.Inventory}, {"store", c.Store}, {"socket", c.Socket}} {
 		if f.v == "" {
-			return conf.Wrong(f.name, "it is missing")
+			return tomlfile.Wrong(f.name, "it is missing")
 		}
 	}
 	if c.Every == 0 {
-		c.Every = conf.Duration(time.Second)
+		c.Every = tomlfile.Duration(time.Second)
 	}
 	if c.Every.D() < 10*time.Millisecond || c.Every.D() > time.Minute {
-		return conf.Wrong("every", "%s is not between 10ms and 1m", c.Every.D())
+		return tomlfile.Wrong("every", "%s is not between 10ms and 1m", c.Every.D())
 	}
 	return nil
 }
@@ -59,11 +59,11 @@
 // Check says what is wrong.
 func (v *Inventory) Check() error {
 	if len(v.Instances) > mostInstances {
-		return conf.Wrong("instance", "there are %d, at most %d can be", len(v.Instances), mostInstances)
+		return tomlfile.Wrong("instance", "there are %d, at most %d can be", len(v.Instances), mostInstances)
 	}
 	var field *fleet.FieldError
 	if err := fleet.CheckInventory(v.Instances); errors.As(err, &field) {
-		return &conf.FieldError{Path: field.Path, Err: errors.New(field.Why)}
+		return &tomlfile.FieldError{Path: field.Path, Err: errors.New(field.Why)}
 	}
 	return nil
 }
@@ -71,7 +71,7 @@
 // ReadInventory reads an inventory, whole or not at all.
 func ReadInventory(path string) (*Inventory, error) {
 	v := &Inventory{}
-	_, err := conf.Read(path, v)
+	_, err := tomlfile.Read(path, v)
 	return v, err
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -15,9 +15,9 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/fleet"
+	"onyxstream/internal/tomlfile"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -114,7 +114,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	r := &rig{cfg: Config{Inventory: filepath.Join(dir, "inv.toml"), Store: filepath.Join(dir, "store"), Socket: filepath.Join(dir, "agent"),
-		Every: conf.Duration(50 * time.Millisecond)}}
+		Every: tomlfile.Duration(50 * time.Millisecond)}}
 	for i := range n {
 		x := &instance{name: fmt.Sprint("i", i), path: filepath.Join(dir, fmt.Sprint("i", i))}
 		x.start(t)
@@ -377,11 +377,11 @@
 		"inventory = \"a\"\nstore = \"b\"\nsocket = \"c\"\nevery = \"1h\"\n": "a.toml:4: every",
 		"inventory = \"a\"\nstore = \"b\"\nsocket = \"c\"\nkey = \"x\"\n":    "a.toml:4: key: no such key",
 	} {
-		if err := conf.Decode("a.toml", []byte(text), &Config{}); err == nil || !strings.HasPrefix(err.Error(), want) {
+		if err := tomlfile.Decode("a.toml", []byte(text), &Config{}); err == nil || !strings.HasPrefix(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
 		}
 	}
-	if err := conf.Decode("i.toml", []byte("[[instance]]\nname = \"a\"\naddr = \"x\"\nzone = \"z\"\n[[instance]]\naddr = \"y\"\nname = \"a\"\nzone = \"z\"\n"),
+	if err := tomlfile.Decode("i.toml", []byte("[[instance]]\nname = \"a\"\naddr = \"x\"\nzone = \"z\"\n[[instance]]\naddr = \"y\"\nname = \"a\"\nzone = \"z\"\n"),
 		&Inventory{}); err == nil || !strings.HasPrefix(err.Error(), "i.toml:7: instance[1].name") {
 		t.Errorf("a name twice: %v", err)
 	}
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/fleet"
+	"onyxstream/internal/tomlfile"
 )
 
 // BenchmarkFleet measures an agent over stand-in instances: to list them, a drain of a tenth of which a tenth can't be
@@ -22,7 +22,7 @@
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := newRig(b, n)
-			r.cfg.Every = conf.Duration(time.Second)
+			r.cfg.Every = tomlfile.Duration(time.Second)
 			c, _ := r.agent(b, nil)
 			begin := time.Now()
 			for !allUp(c) {
--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 
 	"onyxstream/internal/agent"
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/logging"
+	"onyxstream/internal/tomlfile"
 )
 
 // agentSocket is where the command line asks unless told otherwise.
@@ -33,7 +33,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg := &agent.Config{}
-			if _, err := conf.Read(path, cfg); err != nil {
+			if _, err := tomlfile.Read(path, cfg); err != nil {
 				return err
 			}
 			signal.Ignore(syscall.SIGPIPE) // a log whose reader is gone costs its lines alone
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -11,9 +11,9 @@
 	"github.com/google/renameio/v2"
 	"github.com/spf13/cobra"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/lifecycle"
 	"onyxstream/internal/migrate"
+	"onyxstream/internal/tomlfile"
 )
 
 // mostConfig bounds a configuration that is read: one that is larger is none.
@@ -53,7 +53,7 @@
 		return usage(errors.New("--to names the new shape and -o the new file; --dry-run needs no -o"))
 	}
 	var shape migrate.Shape
-	shapeText, err := conf.Read(m.shape, &shape)
+	shapeText, err := tomlfile.Read(m.shape, &shape)
 	if err != nil {
 		return err
 	}
@@ -62,21 +62,21 @@
 		return err
 	}
 	text, report, err := migrate.Run(old, shape)
-	var field *conf.FieldError
+	var field *tomlfile.FieldError
 	var wrong *migrate.Error
 	switch {
 	case errors.As(err, &field):
-		return conf.Place(m.shape, shapeText, err)
+		return tomlfile.Place(m.shape, shapeText, err)
 	case errors.As(err, &wrong):
-		return &conf.Error{File: m.old, Line: wrong.Line, Key: wrong.Field, Err: wrong.Err}
+		return &tomlfile.Error{File: m.old, Line: wrong.Line, Key: wrong.Field, Err: wrong.Err}
 	case err != nil:
 		return err
 	}
 	if err := lifecycle.Check(old); err != nil {
-		return &conf.Error{File: m.old, Err: err}
+		return &tomlfile.Error{File: m.old, Err: err}
 	}
 	if err := lifecycle.Check(text); err != nil {
-		return &conf.Error{File: m.shape, Err: fmt.Errorf("a node would not start with what it makes: %w", err)}
+		return &tomlfile.Error{File: m.shape, Err: fmt.Errorf("a node would not start with what it makes: %w", err)}
 	}
 	if !m.dry {
 		if err := m.write(text, mode); err != nil {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/lifecycle"
 	"onyxstream/internal/load"
+	"onyxstream/internal/tomlfile"
 )
 
 // The exit statuses.
@@ -79,7 +79,7 @@
 
 func code(err error) int {
 	var s *status
-	var file *conf.Error
+	var file *tomlfile.Error
 	var trace *load.TraceError
 	switch {
 	case errors.As(err, &s):
--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -14,9 +14,9 @@
 
 	"github.com/spf13/cobra"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/lifecycle"
 	"onyxstream/internal/scale"
+	"onyxstream/internal/tomlfile"
 )
 
 func scaleCommand() *cobra.Command {
@@ -47,7 +47,7 @@
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			var s scale.Spec
-			if _, err := conf.Read(args[0], &s); err != nil {
+			if _, err := tomlfile.Read(args[0], &s); err != nil {
 				return err
 			}
 			program, err := os.Executable()
--- a/internal/lifecycle/coldstart.go
+++ b/internal/lifecycle/coldstart.go
@@ -21,11 +21,11 @@
 
 	"onyxstream/brain"
 	"onyxstream/internal/coldstart"
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/node"
+	"onyxstream/internal/tomlfile"
 	"onyxstream/internal/wire"
 )
 
@@ -63,7 +63,7 @@
 		return nil
 	}
 	if len(c.Peers) > mostPeers {
-		return conf.Wrong("coldstart.peer", "%d are named, %d at most", len(c.Peers), mostPeers)
+		return tomlfile.Wrong("coldstart.peer", "%d are named, %d at most", len(c.Peers), mostPeers)
 	}
 	for i, p := range c.Peers {
 		at := fmt.Sprintf("coldstart.peer[%d].", i)
@@ -71,14 +71,14 @@
 			continue
 		}
 		if _, err := net.ResolveTCPAddr("tcp", p.Addr); err != nil || p.Addr == "" {
-			return conf.Wrong(at+"addr", "%q is neither unix:PATH nor host and port", p.Addr)
+			return tomlfile.Wrong(at+"addr", "%q is neither unix:PATH nor host and port", p.Addr)
 		}
 		if c.Keys == nil || p.Name == "" {
-			return conf.Wrong(at+"name", "by host and port it needs the name in the other's certificate, and [coldstart.keys]")
+			return tomlfile.Wrong(at+"name", "by host and port it needs the name in the other's certificate, and [coldstart.keys]")
 		}
 	}
 	if c.Folder != "" && !filepath.IsAbs(c.Folder) {
-		return conf.Wrong("coldstart.folder", "%q is no absolute path", c.Folder)
+		return tomlfile.Wrong("coldstart.folder", "%q is no absolute path", c.Folder)
 	}
 	return nil
 }
--- a/internal/lifecycle/own.go
+++ b/internal/lifecycle/own.go
@@ -15,10 +15,10 @@
 	"go.uber.org/zap"
 
 	"onyxstream/brain"
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/node"
+	"onyxstream/internal/tomlfile"
 )
 
 // Own is the project's own configuration file (TOML), beside the platform's: what stands in it is off without it.
@@ -34,10 +34,10 @@
 	Keys   *keys.Files `toml:"keys"`   // needed with listen
 }
 
-// ReadOwn reads the file. Errors are *conf.Error.
+// ReadOwn reads the file. Errors are *tomlfile.Error.
 func ReadOwn(path string) (Own, error) {
 	var o Own
-	_, err := conf.Read(path, &o)
+	_, err := tomlfile.Read(path, &o)
 	return o, err
 }
 
@@ -51,14 +51,14 @@
 		return nil
 	}
 	if _, err := net.ResolveTCPAddr("tcp", c.Listen); err != nil {
-		return conf.Wrong("control.listen", "%q is no address and port", c.Listen)
+		return tomlfile.Wrong("control.listen", "%q is no address and port", c.Listen)
 	}
 	if c.Keys == nil {
-		return conf.Wrong("control.listen", "it needs [control.keys]")
+		return tomlfile.Wrong("control.listen", "it needs [control.keys]")
 	}
 	for _, f := range []struct{ name, v string }{{"cert", c.Keys.Cert}, {"key", c.Keys.Key}, {"authority", c.Keys.Authority}} {
 		if f.v == "" {
-			return conf.Wrong("control.keys."+f.name, "it is missing")
+			return tomlfile.Wrong("control.keys."+f.name, "it is missing")
 		}
 	}
 	return nil
--- a/internal/load/play.go
+++ b/internal/load/play.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/rig"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 )
 
 // PlayOptions are what a run needs beside its scenario.
@@ -242,9 +242,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Scenario{Name: "replay", Seed: 1, Phases: []Phase{{For: conf.Duration(max(sum.Length, time.Millisecond))}}}
+	s := &Scenario{Name: "replay", Seed: 1, Phases: []Phase{{For: tomlfile.Duration(max(sum.Length, time.Millisecond))}}}
 	for _, c := range sum.Classes {
-		s.Classes = append(s.Classes, Class{Name: c, Share: 1, Deadline: conf.Duration(deadline), Life: conf.Duration(time.Minute)})
+		s.Classes = append(s.Classes, Class{Name: c, Share: 1, Deadline: tomlfile.Duration(deadline), Life: tomlfile.Duration(time.Minute)})
 	}
 	for _, t := range sum.Tenants {
 		s.Tenants = append(s.Tenants, Share{Name: t, Share: 1})
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/rig"
+	"onyxstream/internal/tomlfile"
 )
 
 // Scenario is a load and, where it has one, the fleet that it is put on.
@@ -39,26 +39,26 @@
 
 // Phase is a stretch of time and its rate, in requests a second.
 type Phase struct {
-	Shape  string        `toml:"shape"` // constant, ramp, step, burst or onoff
-	For    conf.Duration `toml:"for"`
-	Rate   float64       `toml:"rate"`
-	To     float64       `toml:"to"`     // ramp and step: the rate at the end; onoff: the rate while off
-	Steps  int           `toml:"steps"`  // step: how many
-	Burst  float64       `toml:"burst"`  // burst: requests of each, beside the rate
-	Within conf.Duration `toml:"within"` // burst: how long one lasts
-	Every  conf.Duration `toml:"every"`  // burst, onoff: from the start of one to the next
-	Duty   float64       `toml:"duty"`   // onoff: share of the time that is on
+	Shape  string            `toml:"shape"` // constant, ramp, step, burst or onoff
+	For    tomlfile.Duration `toml:"for"`
+	Rate   float64           `toml:"rate"`
+	To     float64           `toml:"to"`     // ramp and step: the rate at the end; onoff: the rate while off
+	Steps  int               `toml:"steps"`  // step: how many
+	Burst  float64           `toml:"burst"`  // burst: requests of each, beside the rate
+	Within tomlfile.Duration `toml:"within"` // burst: how long one lasts
+	Every  tomlfile.Duration `toml:"every"`  // burst, onoff: from the start of one to the next
+	Duty   float64           `toml:"duty"`   // onoff: share of the time that is on
 }
 
 // Class is a class of requests.
 type Class struct {
-	Name     string        `toml:"name"`
-	Share    float64       `toml:"share"`
-	Deadline conf.Duration `toml:"deadline"` // how long a client waits for its answer
-	Life     conf.Duration `toml:"life"`     // mean time that a connection is to stand
-	Spread   string        `toml:"spread"`   // of lives: exponential, fixed, uniform or pareto
-	Message  conf.Duration `toml:"message"`  // from one line that a client sends to the next; 0 for none
-	Load     float64       `toml:"load"`     // of a connection, in mean loads of its host; 0 for one
+	Name     string            `toml:"name"`
+	Share    float64           `toml:"share"`
+	Deadline tomlfile.Duration `toml:"deadline"` // how long a client waits for its answer
+	Life     tomlfile.Duration `toml:"life"`     // mean time that a connection is to stand
+	Spread   string            `toml:"spread"`   // of lives: exponential, fixed, uniform or pareto
+	Message  tomlfile.Duration `toml:"message"`  // from one line that a client sends to the next; 0 for none
+	Load     float64           `toml:"load"`     // of a connection, in mean loads of its host; 0 for one
 }
 
 // Share is a name and its part of the whole.
@@ -75,21 +75,21 @@
 
 // Clients says what clients do when they are not served at once.
 type Clients struct {
-	Retries  int             `toml:"retries"`   // further tries of a request
-	Wait     conf.Duration   `toml:"wait"`      // before one, where the answer gives no advice
-	Backoff  string          `toml:"backoff"`   // fixed or exponential, both with jitter
-	Honour   *bool           `toml:"honour"`    // the advice of BUSY is followed; true unless set
-	Marks    bool            `toml:"marks"`     // retries are marked r=1
-	MidFlow  bool            `toml:"mid_flow"`  // a broken connection is tried mid-flow at another node first
-	Comeback []conf.Duration `toml:"come_back"` // from and to: how soon clients come again that were moved or broken
-	Returns  int             `toml:"returns"`   // how often one comes again at most
+	Retries  int                 `toml:"retries"`   // further tries of a request
+	Wait     tomlfile.Duration   `toml:"wait"`      // before one, where the answer gives no advice
+	Backoff  string              `toml:"backoff"`   // fixed or exponential, both with jitter
+	Honour   *bool               `toml:"honour"`    // the advice of BUSY is followed; true unless set
+	Marks    bool                `toml:"marks"`     // retries are marked r=1
+	MidFlow  bool                `toml:"mid_flow"`  // a broken connection is tried mid-flow at another node first
+	Comeback []tomlfile.Duration `toml:"come_back"` // from and to: how soon clients come again that were moved or broken
+	Returns  int                 `toml:"returns"`   // how often one comes again at most
 }
 
 // Wave is a share of all who stand dropping at once and coming back.
 type Wave struct {
-	At     conf.Duration `toml:"at"`
-	Share  float64       `toml:"share"`
-	Within conf.Duration `toml:"within"` // they come back spread over this time
+	At     tomlfile.Duration `toml:"at"`
+	Share  float64           `toml:"share"`
+	Within tomlfile.Duration `toml:"within"` // they come back spread over this time
 }
 
 // Standing are connections that stood at the fleet's hosts before the run.
@@ -99,10 +99,10 @@
 
 // Limits bound the generator and say what is a run that counts.
 type Limits struct {
-	Lateness conf.Duration `toml:"lateness"` // at the 99th percentile; a generator that is later fell behind
-	Open     int           `toml:"open"`     // connections at one time; requests past it are not sent, and told as such
-	Sources  int           `toml:"sources"`  // loopback addresses that connections come from; ports of one run out
-	Linger   conf.Duration `toml:"linger"`   // how long after the last request those who stand are watched
+	Lateness tomlfile.Duration `toml:"lateness"` // at the 99th percentile; a generator that is later fell behind
+	Open     int               `toml:"open"`     // connections at one time; requests past it are not sent, and told as such
+	Sources  int               `toml:"sources"`  // loopback addresses that connections come from; ports of one run out
+	Linger   tomlfile.Duration `toml:"linger"`   // how long after the last request those who stand are watched
 }
 
 // The defaults, and what bounds a scenario.
@@ -116,10 +116,10 @@
 	mostSources     = 250
 )
 
-// ReadScenario reads a scenario file. Errors are *conf.Error.
+// ReadScenario reads a scenario file. Errors are *tomlfile.Error.
 func ReadScenario(path string) (*Scenario, []byte, error) {
 	s := &Scenario{}
-	text, err := conf.Read(path, s)
+	text, err := tomlfile.Read(path, s)
 	return s, text, err
 }
 
@@ -131,7 +131,7 @@
 	return d
 }
 
-// Check fills in defaults and says what is wrong, as a *conf.FieldError.
+// Check fills in defaults and says what is wrong, as a *tomlfile.FieldError.
 func (s *Scenario) Check() error {
 	for _, f := range []func() error{s.checkRequests, s.checkPhases, s.checkClasses, s.checkClients, s.checkLimits} {
 		if err := f(); err != nil {
@@ -140,7 +140,7 @@
 	}
 	if s.Fleet == nil {
 		if len(s.Faults) > 0 {
-			return conf.Wrong("fault[0].what", "a scenario without a fleet has nothing to break")
+			return tomlfile.Wrong("fault[0].what", "a scenario without a fleet has nothing to break")
 		}
 		return nil
 	}
@@ -173,12 +173,12 @@
 			return v, nil
 		}
 	}
-	return v, conf.Wrong(path, "%q is none of %q", v, known)
+	return v, tomlfile.Wrong(path, "%q is none of %q", v, known)
 }
 
 func within(path string, v, from, to float64) error {
 	if !(v >= from && v <= to) {
-		return conf.Wrong(path, "%g is not between %g and %g", v, from, to)
+		return tomlfile.Wrong(path, "%g is not between %g and %g", v, from, to)
 	}
 	return nil
 }
@@ -210,7 +210,7 @@
 
 func (s *Scenario) checkPhases() error {
 	if len(s.Phases) == 0 {
-		return conf.Wrong("phase", "there is none")
+		return tomlfile.Wrong("phase", "there is none")
 	}
 	for i := range s.Phases {
 		p, at := &s.Phases[i], path("phase", i)
@@ -246,7 +246,7 @@
 
 func (s *Scenario) checkClasses() error {
 	if len(s.Classes) == 0 {
-		return conf.Wrong("class", "there is none")
+		return tomlfile.Wrong("class", "there is none")
 	}
 	seen := map[string]bool{}
 	for i := range s.Classes {
@@ -284,7 +284,7 @@
 		}
 	}
 	if len(s.Tenants) == 0 {
-		return conf.Wrong("tenant", "there is none")
+		return tomlfile.Wrong("tenant", "there is none")
 	}
 	for _, d := range []struct {
 		name string
@@ -294,7 +294,7 @@
 			return err
 		}
 		if d.Zipf != 0 && !(d.Zipf > 1 && d.Zipf <= 20) {
-			return conf.Wrong(d.name+".zipf", "%g is not above 1 and up to 20", d.Zipf)
+			return tomlfile.Wrong(d.name+".zipf", "%g is not above 1 and up to 20", d.Zipf)
 		}
 	}
 	return sums(s)
@@ -307,7 +307,7 @@
 		total += c.Share
 	}
 	if total <= 0 {
-		return conf.Wrong("class[0].share", "all shares are 0")
+		return tomlfile.Wrong("class[0].share", "all shares are 0")
 	}
 	for name, list := range map[string][]Share{"tenant": s.Tenants, "zone": s.Zones} {
 		total := 0.0
@@ -315,7 +315,7 @@
 			total += t.Share
 		}
 		if len(list) > 0 && total <= 0 {
-			return conf.Wrong(name+"[0].share", "all shares are 0")
+			return tomlfile.Wrong(name+"[0].share", "all shares are 0")
 		}
 	}
 	return nil
@@ -324,18 +324,18 @@
 // plainName checks a name that goes into a list of names and values on the wire.
 func plainName(at, v string, seen map[string]bool) error {
 	if v == "" || len(v) > 64 {
-		return conf.Wrong(at, "a name has 1 to 64 bytes")
+		return tomlfile.Wrong(at, "a name has 1 to 64 bytes")
 	}
 	for _, b := range []byte(v) {
 		if b <= ' ' || b >= 0x7f || b == ',' || b == '=' {
-			return conf.Wrong(at, "%q has a character that a name can't have", v)
+			return tomlfile.Wrong(at, "%q has a character that a name can't have", v)
 		}
 	}
 	if seen[v] {
-		return conf.Wrong(at, "%q is given twice", v)
+		return tomlfile.Wrong(at, "%q is given twice", v)
 	}
 	if len(seen) >= mostNames {
-		return conf.Wrong(at, "there are over %d", mostNames)
+		return tomlfile.Wrong(at, "there are over %d", mostNames)
 	}
 	seen[v] = true
 	return nil
@@ -351,10 +351,10 @@
 		c.Honour = &yes
 	}
 	if len(c.Comeback) == 0 {
-		c.Comeback = []conf.Duration{conf.Duration(50 * time.Millisecond), conf.Duration(time.Second)}
+		c.Comeback = []tomlfile.Duration{tomlfile.Duration(50 * time.Millisecond), tomlfile.Duration(time.Second)}
 	}
 	if len(c.Comeback) != 2 || c.Comeback[0] < 0 || c.Comeback[1] < c.Comeback[0] || c.Comeback[1].D() > time.Hour {
-		return conf.Wrong("clients.come_back", "it is two times, the first no longer than the second")
+		return tomlfile.Wrong("clients.come_back", "it is two times, the first no longer than the second")
 	}
 	if c.Returns == 0 {
 		c.Returns = defaultReturns
@@ -373,7 +373,7 @@
 func (s *Scenario) checkLimits() error {
 	l := &s.Limits
 	if l.Lateness == 0 {
-		l.Lateness = conf.Duration(defaultLateness)
+		l.Lateness = tomlfile.Duration(defaultLateness)
 	}
 	if l.Open == 0 {
 		l.Open = defaultOpen
@@ -382,10 +382,10 @@
 		l.Sources = 1
 	}
 	if s.Standing.Count > 0 && s.Fleet == nil {
-		return conf.Wrong("standing.count", "only a fleet of the scenario's own can have held connections before")
+		return tomlfile.Wrong("standing.count", "only a fleet of the scenario's own can have held connections before")
 	}
 	if s.Requests.Direct > 0 && s.Fleet == nil {
-		return conf.Wrong("requests.direct", "only a fleet of the scenario's own has hosts that are known here")
+		return tomlfile.Wrong("requests.direct", "only a fleet of the scenario's own has hosts that are known here")
 	}
 	return first(within("limits.lateness", l.Lateness.D().Seconds(), 1e-6, 60), within("limits.open", float64(l.Open), 1, 1e6),
 		within("limits.sources", float64(l.Sources), 1, mostSources), within("limits.linger", l.Linger.D().Seconds(), 0, 3600))
--- a/internal/load/schedule_test.go
+++ b/internal/load/schedule_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"onyxstream/internal/conf"
+	"onyxstream/internal/tomlfile"
 )
 
 // The same verdict every time: other draws are had by -rapid.seed.
@@ -38,7 +38,7 @@
 func scenario(t *testing.T, more string, changes ...string) *Scenario {
 	t.Helper()
 	s := &Scenario{}
-	if err := conf.Decode("t.toml", []byte(strings.NewReplacer(changes...).Replace(usual)+more), s); err != nil {
+	if err := tomlfile.Decode("t.toml", []byte(strings.NewReplacer(changes...).Replace(usual)+more), s); err != nil {
 		t.Fatal(err)
 	}
 	return s
@@ -108,13 +108,13 @@
 func TestScheduleIsAFunctionOfScenarioAndSeed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &Scenario{Seed: rapid.Uint64().Draw(t, "seed"), Requests: Requests{Arrivals: rapid.SampledFrom([]string{"even", "poisson"}).Draw(t, "arrivals")},
-			Classes: []Class{{Name: "a", Share: 1, Spread: "pareto", Life: conf.Duration(time.Second), Deadline: conf.Duration(time.Second)},
-				{Name: "b", Share: 3, Life: conf.Duration(time.Second), Deadline: conf.Duration(time.Second)}},
+			Classes: []Class{{Name: "a", Share: 1, Spread: "pareto", Life: tomlfile.Duration(time.Second), Deadline: tomlfile.Duration(time.Second)},
+				{Name: "b", Share: 3, Life: tomlfile.Duration(time.Second), Deadline: tomlfile.Duration(time.Second)}},
 			Tenants: []Share{{"x", 1}}, Groups: Draw{50, 1.2}, Keys: Draw{Count: 9}}
 		for range rapid.IntRange(1, 4).Draw(t, "phases") {
 			s.Phases = append(s.Phases, Phase{Shape: rapid.SampledFrom([]string{"constant", "ramp", "step", "onoff", "burst"}).Draw(t, "shape"),
-				For: conf.Duration(rapid.Int64Range(1e6, 5e9).Draw(t, "for")), Rate: rapid.Float64Range(0, 300).Draw(t, "rate"),
-				To: rapid.Float64Range(0, 300).Draw(t, "to"), Steps: 3, Burst: 20, Within: conf.Duration(1e6), Every: conf.Duration(1e9), Duty: 0.3})
+				For: tomlfile.Duration(rapid.Int64Range(1e6, 5e9).Draw(t, "for")), Rate: rapid.Float64Range(0, 300).Draw(t, "rate"),
+				To: rapid.Float64Range(0, 300).Draw(t, "to"), Steps: 3, Burst: 20, Within: tomlfile.Duration(1e6), Every: tomlfile.Duration(1e9), Duty: 0.3})
 		}
 		if err := s.Check(); err != nil {
 			t.Fatal(err)
@@ -205,7 +205,7 @@
 		{"", "", fleet + "[[fault]]\non = \"link-h1\"\nwhat = \"stall\"\n", "t.toml:20: fault[0].on: fleet.links is off"},
 		{"[[phase]]", "[[phase", "", "t.toml:6"},
 	} {
-		err := conf.Decode("t.toml", []byte(strings.Replace(usual, c.from, c.to, 1)+c.more), &Scenario{})
+		err := tomlfile.Decode("t.toml", []byte(strings.Replace(usual, c.from, c.to, 1)+c.more), &Scenario{})
 		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
 			t.Errorf("%q and %q: %v, want %s", c.to, c.more, err, c.want)
 		}
--- a/internal/migrate/migrate.go
+++ b/internal/migrate/migrate.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"onyxstream/internal/conf"
+	"onyxstream/internal/tomlfile"
 )
 
 // The ways in which a field went over.
@@ -64,7 +64,7 @@
 	gone    []Line   // what is not carried
 }
 
-// Run makes the counterpart of an old configuration. A shape that does not fit it is a *conf.FieldError, what is wrong
+// Run makes the counterpart of an old configuration. A shape that does not fit it is a *tomlfile.FieldError, what is wrong
 // in the configuration an *Error. The same input gives the same bytes.
 func Run(old []byte, shape Shape) (out []byte, report []Line, err error) {
 	root, err := parse(old)
@@ -176,7 +176,7 @@
 	for i, l := range m.shape.Locations {
 		for _, from := range l.From {
 			if !slices.Contains(zones, from) {
-				return conf.Wrong(fmt.Sprintf("location[%d].from", i), "the configuration has no location %q", from)
+				return tomlfile.Wrong(fmt.Sprintf("location[%d].from", i), "the configuration has no location %q", from)
 			}
 		}
 	}
--- a/internal/migrate/migrate_test.go
+++ b/internal/migrate/migrate_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/settings"
+	"onyxstream/internal/tomlfile"
 )
 
 const old = `{"name":"n3","seed":"8c1f","big":12345678901234567890.10,
@@ -43,7 +43,7 @@
 
 func shape(t testing.TB, text string) (s Shape) {
 	t.Helper()
-	if err := conf.Decode("shape", []byte(text), &s); err != nil {
+	if err := tomlfile.Decode("shape", []byte(text), &s); err != nil {
 		t.Fatal(err)
 	}
 	return s
@@ -122,8 +122,8 @@
 		{`name = "x"`, `name = "y"`, "location[1].name"}, {`["c"]`, `["c","c"]`, "gone"},
 	} {
 		var s Shape
-		err := conf.Decode("shape", []byte(strings.Replace(shapeText, c[0], c[1], 1)), &s)
-		var at *conf.Error
+		err := tomlfile.Decode("shape", []byte(strings.Replace(shapeText, c[0], c[1], 1)), &s)
+		var at *tomlfile.Error
 		if !errors.As(err, &at) || at.Line == 0 || at.Key != c[2] {
 			t.Errorf("%s in place of %s: %v", c[1], c[0], err)
 		}
--- a/internal/migrate/shape.go
+++ b/internal/migrate/shape.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"onyxstream/internal/conf"
+	"onyxstream/internal/tomlfile"
 )
 
 // Shape names what an old configuration can't know of the deployment that a node moves to. What is left out stays as it
@@ -57,30 +57,30 @@
 // Check reports what can't be meant.
 func (s *Shape) Check() error {
 	if s.List != "push" && s.List != "ask" {
-		return conf.Wrong("list", "%q is neither \"push\" nor \"ask\"", s.List)
+		return tomlfile.Wrong("list", "%q is neither \"push\" nor \"ask\"", s.List)
 	}
 	if s.Nodes < 0 {
-		return conf.Wrong("nodes", "%d is out of range", s.Nodes)
+		return tomlfile.Wrong("nodes", "%d is out of range", s.Nodes)
 	}
 	if len(s.Locations) == 0 {
-		return conf.Wrong("location", "none is named")
+		return tomlfile.Wrong("location", "none is named")
 	}
 	names, from := map[string]bool{}, map[string]bool{}
 	for _, old := range s.Gone {
 		if from[old] {
-			return conf.Wrong("gone", "%q stands there twice", old)
+			return tomlfile.Wrong("gone", "%q stands there twice", old)
 		}
 		from[old] = true
 	}
 	for i, l := range s.Locations {
 		at := fmt.Sprintf("location[%d].", i)
 		if l.Name == "" || names[l.Name] {
-			return conf.Wrong(at+"name", "%q is empty or taken", l.Name)
+			return tomlfile.Wrong(at+"name", "%q is empty or taken", l.Name)
 		}
 		names[l.Name] = true
 		for _, old := range l.From {
 			if from[old] {
-				return conf.Wrong(at+"from", "%q is mapped twice", old)
+				return tomlfile.Wrong(at+"from", "%q is mapped twice", old)
 			}
 			from[old] = true
 		}
@@ -89,16 +89,16 @@
 		at := fmt.Sprintf("class[%d].", i)
 		switch {
 		case c.Name == "":
-			return conf.Wrong(at+"name", "missing")
+			return tomlfile.Wrong(at+"name", "missing")
 		case !(c.Setup > 0 && c.Deadline >= c.Setup && c.Message >= 0 && c.Worth > 0):
-			return conf.Wrong(at+"deadline_ms", "times and worth must be over 0, and the deadline no sooner than the set-up")
+			return tomlfile.Wrong(at+"deadline_ms", "times and worth must be over 0, and the deadline no sooner than the set-up")
 		case c.Repeat != "safe" && c.Repeat != "keyed" && c.Repeat != "unsafe":
-			return conf.Wrong(at+"repeat", "%q is none of \"safe\", \"keyed\", \"unsafe\"", c.Repeat)
+			return tomlfile.Wrong(at+"repeat", "%q is none of \"safe\", \"keyed\", \"unsafe\"", c.Repeat)
 		}
 	}
 	for i, t := range s.Tenants {
 		if t.Name == "" || !(t.Connections >= 0) {
-			return conf.Wrong(fmt.Sprintf("tenant[%d].name", i), "a name and at least 0 connections are needed")
+			return tomlfile.Wrong(fmt.Sprintf("tenant[%d].name", i), "a name and at least 0 connections are needed")
 		}
 	}
 	return nil
--- a/internal/rig/coldstart_test.go
+++ b/internal/rig/coldstart_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 )
 
 var built = sync.OnceValues(func() (string, error) {
@@ -32,8 +32,8 @@
 
 // coldFleet is a fleet whose list service works through calls in turn, 10 ms each, and gives up those that waited 1 s.
 func coldFleet(nodes int) Fleet {
-	return Fleet{Nodes: nodes, Hosts: 20, Host: Host{Cores: 4, Load: 0.001, Setup: conf.Duration(time.Millisecond)},
-		List:      List{Cost: conf.Duration(10 * time.Millisecond), Wait: conf.Duration(time.Second), Unknown: true, Links: true},
+	return Fleet{Nodes: nodes, Hosts: 20, Host: Host{Cores: 4, Load: 0.001, Setup: tomlfile.Duration(time.Millisecond)},
+		List:      List{Cost: tomlfile.Duration(10 * time.Millisecond), Wait: tomlfile.Duration(time.Second), Unknown: true, Links: true},
 		ColdStart: &ColdStart{Peers: 4}}
 }
 
@@ -116,8 +116,8 @@
 	}
 	cold := os.Getenv("ONYXSTREAM_COLD") != ""
 	if cold { // all hosts have just started; 20 of them can do 300 set-ups a second then, 1,000 when warm
-		f.Host = Host{Cores: 1, Load: 0.0001, Setup: conf.Duration(20 * time.Millisecond), Cold: 0.3, Warm: conf.Duration(10 * time.Second),
-			Fall: 4, FallIn: conf.Duration(time.Second), Fresh: true}
+		f.Host = Host{Cores: 1, Load: 0.0001, Setup: tomlfile.Duration(20 * time.Millisecond), Cold: 0.3, Warm: tomlfile.Duration(10 * time.Second),
+			Fall: 4, FallIn: tomlfile.Duration(time.Second), Fresh: true}
 	}
 	r := prepare(t, f)
 	if down > 0 {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,44 +7,44 @@
 	"strings"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/stand/capacity"
+	"onyxstream/internal/tomlfile"
 )
 
 // Fleet says what to play.
 type Fleet struct {
-	Nodes       int           `toml:"nodes"` // real nodes; 0 for hosts alone, which all requests then go to directly
-	Hosts       int           `toml:"hosts"`
-	Zones       []string      `toml:"zones"` // nodes and hosts are dealt to them in turn
-	Mode        string        `toml:"mode"`  // "pass" or "proxy", as the settings call it
-	Probes      bool          `toml:"probes"`
-	Loads       bool          `toml:"loads"` // hosts tell the load of connections
-	Links       bool          `toml:"links"` // each host is reached over a link that can fail
-	Notice      conf.Duration `toml:"notice"`
-	FrontNotice conf.Duration `toml:"front_notice"`
-	Park        conf.Duration `toml:"park"`  // how long hosts keep a connection whose node broke it
-	Cores       float64       `toml:"cores"` // of a node
-	MemoryMB    int           `toml:"memory_mb"`
-	Sockets     int           `toml:"sockets"`
-	Host        Host          `toml:"host"`
-	Store       Store         `toml:"store"`
-	List        List          `toml:"list"`
-	ColdStart   *ColdStart    `toml:"coldstart"` // of the nodes; off without it
-	Quota       float64       `toml:"quota"`     // connections that each tenant may have open at all nodes within its share; 0 for not told
-	Agents      int           `toml:"agents"`    // each with all nodes in its inventory, over links of its own
+	Nodes       int               `toml:"nodes"` // real nodes; 0 for hosts alone, which all requests then go to directly
+	Hosts       int               `toml:"hosts"`
+	Zones       []string          `toml:"zones"` // nodes and hosts are dealt to them in turn
+	Mode        string            `toml:"mode"`  // "pass" or "proxy", as the settings call it
+	Probes      bool              `toml:"probes"`
+	Loads       bool              `toml:"loads"` // hosts tell the load of connections
+	Links       bool              `toml:"links"` // each host is reached over a link that can fail
+	Notice      tomlfile.Duration `toml:"notice"`
+	FrontNotice tomlfile.Duration `toml:"front_notice"`
+	Park        tomlfile.Duration `toml:"park"`  // how long hosts keep a connection whose node broke it
+	Cores       float64           `toml:"cores"` // of a node
+	MemoryMB    int               `toml:"memory_mb"`
+	Sockets     int               `toml:"sockets"`
+	Host        Host              `toml:"host"`
+	Store       Store             `toml:"store"`
+	List        List              `toml:"list"`
+	ColdStart   *ColdStart        `toml:"coldstart"` // of the nodes; off without it
+	Quota       float64           `toml:"quota"`     // connections that each tenant may have open at all nodes within its share; 0 for not told
+	Agents      int               `toml:"agents"`    // each with all nodes in its inventory, over links of its own
 }
 
 // List is the list service, and what nodes know of the list when they start.
 type List struct {
-	Cost      conf.Duration `toml:"cost"` // of a call; calls are worked through in turn
-	Wait      conf.Duration `toml:"wait"` // a call that has waited so long is turned away; 0 for none is
-	Queue     int           `toml:"queue"`
-	After     string        `toml:"retry_after"` // of what is turned away, word for word
-	Push      bool          `toml:"push"`        // the settings say that the list comes unasked
-	Unknown   bool          `toml:"unknown"`     // nodes start with no list
-	Links     bool          `toml:"links"`       // each node reaches it over a link that can fail
-	AskWithin conf.Duration `toml:"ask_within"`
-	Down      conf.Duration `toml:"down"` // calls are reset for so long from the start of the processes on
+	Cost      tomlfile.Duration `toml:"cost"` // of a call; calls are worked through in turn
+	Wait      tomlfile.Duration `toml:"wait"` // a call that has waited so long is turned away; 0 for none is
+	Queue     int               `toml:"queue"`
+	After     string            `toml:"retry_after"` // of what is turned away, word for word
+	Push      bool              `toml:"push"`        // the settings say that the list comes unasked
+	Unknown   bool              `toml:"unknown"`     // nodes start with no list
+	Links     bool              `toml:"links"`       // each node reaches it over a link that can fail
+	AskWithin tomlfile.Duration `toml:"ask_within"`
+	Down      tomlfile.Duration `toml:"down"` // calls are reset for so long from the start of the processes on
 }
 
 // ColdStart is what the nodes' own configuration says of their start.
@@ -56,27 +56,27 @@
 
 // Host is what every stand-in host can do; package capacity says what the figures mean.
 type Host struct {
-	Cores  float64       `toml:"cores"`
-	Speed  float64       `toml:"speed"`
-	Uneven float64       `toml:"uneven"` // speeds are spread evenly over 1 - uneven to 1 + uneven of speed
-	Load   float64       `toml:"load"`
-	Drift  float64       `toml:"drift"`
-	Group  float64       `toml:"group"`
-	Setup  conf.Duration `toml:"setup"`
-	Lines  conf.Duration `toml:"lines"`
-	Most   int           `toml:"most"`
-	Queue  int           `toml:"queue"`
-	Cold   float64       `toml:"cold"`
-	Warm   conf.Duration `toml:"warm"`
-	Fall   float64       `toml:"fall"`
-	FallIn conf.Duration `toml:"fall_in"`
-	Fresh  bool          `toml:"fresh"` // all have just started when the fleet does
+	Cores  float64           `toml:"cores"`
+	Speed  float64           `toml:"speed"`
+	Uneven float64           `toml:"uneven"` // speeds are spread evenly over 1 - uneven to 1 + uneven of speed
+	Load   float64           `toml:"load"`
+	Drift  float64           `toml:"drift"`
+	Group  float64           `toml:"group"`
+	Setup  tomlfile.Duration `toml:"setup"`
+	Lines  tomlfile.Duration `toml:"lines"`
+	Most   int               `toml:"most"`
+	Queue  int               `toml:"queue"`
+	Cold   float64           `toml:"cold"`
+	Warm   tomlfile.Duration `toml:"warm"`
+	Fall   float64           `toml:"fall"`
+	FallIn tomlfile.Duration `toml:"fall_in"`
+	Fresh  bool              `toml:"fresh"` // all have just started when the fleet does
 }
 
 // Store is the session store that all hosts call with each set-up.
 type Store struct {
-	Latency conf.Duration `toml:"latency"`
-	Rate    float64       `toml:"rate"`
+	Latency tomlfile.Duration `toml:"latency"`
+	Rate    float64           `toml:"rate"`
 }
 
 // ClassSpec is what a node's settings say of a class.
@@ -89,12 +89,12 @@
 
 // FaultSpec is one thing that goes wrong.
 type FaultSpec struct {
-	At   conf.Duration `toml:"at"`   // from the start of the load
-	What string        `toml:"what"` // see faultKinds
-	On   string        `toml:"on"`   // "h1", "n1", "discovery", "store", "link-h1"
-	For  conf.Duration `toml:"for"`  // when it ends; 0 for never
-	By   float64       `toml:"by"`   // a factor, a share, bytes a second
-	Over conf.Duration `toml:"over"` // drain: clients are sent away spread over this; lag, delay: the time
+	At   tomlfile.Duration `toml:"at"`   // from the start of the load
+	What string            `toml:"what"` // see faultKinds
+	On   string            `toml:"on"`   // "h1", "n1", "discovery", "store", "link-h1"
+	For  tomlfile.Duration `toml:"for"`  // when it ends; 0 for never
+	By   float64           `toml:"by"`   // a factor, a share, bytes a second
+	Over tomlfile.Duration `toml:"over"` // drain: clients are sent away spread over this; lag, delay: the time
 }
 
 // faultKinds names what can be broken on what, and whether By and Over mean anything.
@@ -116,7 +116,7 @@
 	mostPeers  = 1024 // of a node: each is a link, and a link takes descriptors of the rig
 )
 
-// Check fills in defaults and says what is wrong, as a *conf.FieldError.
+// Check fills in defaults and says what is wrong, as a *tomlfile.FieldError.
 func (f *Fleet) Check(classes []ClassSpec, tenants []string) error {
 	if len(f.Zones) == 0 {
 		f.Zones = []string{"a"}
@@ -125,7 +125,7 @@
 		f.Mode = "proxy"
 	}
 	if f.Mode != "pass" && f.Mode != "proxy" {
-		return conf.Wrong("fleet.mode", `%q is neither "pass" nor "proxy"`, f.Mode)
+		return tomlfile.Wrong("fleet.mode", `%q is neither "pass" nor "proxy"`, f.Mode)
 	}
 	for _, d := range []struct {
 		v   *float64
@@ -142,13 +142,13 @@
 		f.Sockets = 4096
 	}
 	if f.Notice == 0 {
-		f.Notice = conf.Duration(500 * time.Millisecond)
+		f.Notice = tomlfile.Duration(500 * time.Millisecond)
 	}
 	if f.List.AskWithin == 0 {
-		f.List.AskWithin = conf.Duration(10 * time.Second)
+		f.List.AskWithin = tomlfile.Duration(10 * time.Second)
 	}
 	if f.ColdStart != nil && (f.ColdStart.Peers < 0 || f.ColdStart.Peers > mostPeers || f.ColdStart.Peers >= max(f.Nodes, 1)) {
-		return conf.Wrong("fleet.coldstart.peers", "%d is not between 0 and %d, and under the nodes", f.ColdStart.Peers, mostPeers)
+		return tomlfile.Wrong("fleet.coldstart.peers", "%d is not between 0 and %d, and under the nodes", f.ColdStart.Peers, mostPeers)
 	}
 	for _, b := range []struct {
 		name        string
@@ -166,16 +166,16 @@
 		{"list.ask_within", f.List.AskWithin.D().Seconds(), 0.1, 600},
 	} {
 		if !(b.v >= b.from && b.v <= b.to) {
-			return conf.Wrong("fleet."+b.name, "%g is not between %g and %g", b.v, b.from, b.to)
+			return tomlfile.Wrong("fleet."+b.name, "%g is not between %g and %g", b.v, b.from, b.to)
 		}
 	}
 	for i, z := range f.Zones {
 		if z == "" || strings.ContainsAny(z, " ,=\"\\") {
-			return conf.Wrong("fleet.zones", "%q is no name (number %d)", z, i+1)
+			return tomlfile.Wrong("fleet.zones", "%q is no name (number %d)", z, i+1)
 		}
 	}
 	if field, err := f.spec(0).Check(); err != nil {
-		return conf.Wrong("fleet.host."+field, "%w", err)
+		return tomlfile.Wrong("fleet.host."+field, "%w", err)
 	}
 	return nil
 }
@@ -252,7 +252,7 @@
 		at := fmt.Sprintf("fault[%d].", i)
 		all, err := f.targets(x.On)
 		if err != nil {
-			return conf.Wrong(at+"on", "%w", err)
+			return tomlfile.Wrong(at+"on", "%w", err)
 		}
 		for _, t := range all {
 			if err := f.checkFault(at, x, t, &hosts); err != nil {
@@ -273,26 +273,26 @@
 	}
 	switch {
 	case !ok:
-		return conf.Wrong(at+"what", "%q can't happen to a %s", x.What, t.kind)
+		return tomlfile.Wrong(at+"what", "%q can't happen to a %s", x.What, t.kind)
 	case x.At < 0:
-		return conf.Wrong(at+"at", "%s is negative", x.At.D())
+		return tomlfile.Wrong(at+"at", "%s is negative", x.At.D())
 	case x.For < 0:
-		return conf.Wrong(at+"for", "%s is negative", x.For.D())
+		return tomlfile.Wrong(at+"for", "%s is negative", x.For.D())
 	case k.by && x.By <= 0:
-		return conf.Wrong(at+"by", "%s needs a figure above 0", x.What)
+		return tomlfile.Wrong(at+"by", "%s needs a figure above 0", x.What)
 	case x.Over < 0:
-		return conf.Wrong(at+"over", "%s is negative", x.Over.D())
+		return tomlfile.Wrong(at+"over", "%s is negative", x.Over.D())
 	case t.kind == "link" && off[t.of] != "":
-		return conf.Wrong(at+"on", "%s is off, so there is no link", off[t.of])
+		return tomlfile.Wrong(at+"on", "%s is off, so there is no link", off[t.of])
 	case x.What == "stall" && (t.kind == "node" || t.kind == "agent") && x.For == 0:
-		return conf.Wrong(at+"for", "a process that stalls for ever is killed, not stalled")
+		return tomlfile.Wrong(at+"for", "a process that stalls for ever is killed, not stalled")
 	case t.kind == "host" && x.What == "add":
 		if t.index != *hosts {
-			return conf.Wrong(at+"on", "the next host to add is h%d", *hosts+1)
+			return tomlfile.Wrong(at+"on", "the next host to add is h%d", *hosts+1)
 		}
 		*hosts++
 	case t.kind == "host" && t.index >= *hosts:
-		return conf.Wrong(at+"on", "there is no h%d by then", t.index+1)
+		return tomlfile.Wrong(at+"on", "there is no h%d by then", t.index+1)
 	}
 	return nil
 }
--- a/internal/rig/rolling.go
+++ b/internal/rig/rolling.go
@@ -14,9 +14,9 @@
 	"syscall"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 )
 
 // Rolling is a rolling restart under load, drawn by its seed: all nodes are told to stop, a tenth at a time, each is
@@ -112,7 +112,7 @@
 func (r *Rig) trouble(draw *rand.Rand, length time.Duration) (line []FaultSpec) {
 	hosts := len(r.Hosts())
 	order := draw.Perm(hosts)
-	at := func(part float64) conf.Duration { return conf.Duration(part * float64(length)) }
+	at := func(part float64) tomlfile.Duration { return tomlfile.Duration(part * float64(length)) }
 	hang := max(hosts/3, 1)
 	for _, i := range order[:hang] {
 		line = append(line, FaultSpec{At: at(0.1 + 0.3*draw.Float64()), What: "hang", On: fmt.Sprint("h", i+1), For: at(0.6)})
@@ -120,7 +120,7 @@
 	for k, i := range order[hang : hang+hosts/2] {
 		when := at(0.2 + 0.5*float64(k)/float64(hosts))
 		line = append(line, FaultSpec{At: when, What: "add", On: fmt.Sprint("h", hosts+k+1)},
-			FaultSpec{At: when, What: "drain", On: fmt.Sprint("h", i+1), Over: conf.Duration(time.Second)})
+			FaultSpec{At: when, What: "drain", On: fmt.Sprint("h", i+1), Over: tomlfile.Duration(time.Second)})
 	}
 	return line
 }
--- a/internal/rig/rolling_test.go
+++ b/internal/rig/rolling_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 )
 
 // roll plays a rolling restart and judges it.
@@ -16,7 +16,7 @@
 	f := coldFleet(nodes)
 	f.ColdStart, f.List.Unknown, f.Mode, f.Hosts = nil, false, mode, 12
 	f.Quota = float64(nodes) // a node is to hold less than it could judge hosts by, as in a large fleet
-	f.List.Cost, f.List.AskWithin = conf.Duration(time.Millisecond), conf.Duration(3*time.Second)
+	f.List.Cost, f.List.AskWithin = tomlfile.Duration(time.Millisecond), tomlfile.Duration(3*time.Second)
 	r := prepare(t, f)
 	launch(t, r)
 	if err := r.Ready(t.Context()); err != nil {
--- a/internal/rig/startfaults_test.go
+++ b/internal/rig/startfaults_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"onyxstream/internal/coldstart"
-	"onyxstream/internal/conf"
 	"onyxstream/internal/control"
 	"onyxstream/internal/keys"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 	"onyxstream/internal/wire"
 )
 
@@ -59,7 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := prepare(t, startFleet(startNodes, func(f *Fleet) {
-				f.List.After, f.List.AskWithin = after, conf.Duration(2*time.Second) // four times that is the longest rest
+				f.List.After, f.List.AskWithin = after, tomlfile.Duration(2*time.Second) // four times that is the longest rest
 			}))
 			r.Discovery.Answer(stand.Busy)
 			launch(t, r)
@@ -104,7 +104,7 @@
 	for name, left := range map[string]int{"shorter": 2, "empty": 0} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := prepare(t, startFleet(6, func(f *Fleet) { f.List.AskWithin = conf.Duration(2 * time.Second) }))
+			r := prepare(t, startFleet(6, func(f *Fleet) { f.List.AskWithin = tomlfile.Duration(2 * time.Second) }))
 			var all []wire.Member
 			for _, h := range r.Hosts() {
 				all = append(all, r.Member(h, wire.Serving))
@@ -321,8 +321,8 @@
 	t.Parallel()
 	r := prepare(t, startFleet(startNodes, func(f *Fleet) {
 		f.List.Unknown = false
-		f.Host = Host{Cores: 1, Load: 0.0001, Setup: conf.Duration(20 * time.Millisecond), Cold: 0.3, Warm: conf.Duration(10 * time.Second),
-			Fall: 4, FallIn: conf.Duration(time.Second), Fresh: true}
+		f.Host = Host{Cores: 1, Load: 0.0001, Setup: tomlfile.Duration(20 * time.Millisecond), Cold: 0.3, Warm: tomlfile.Duration(10 * time.Second),
+			Fall: 4, FallIn: tomlfile.Duration(time.Second), Fresh: true}
 	}))
 	var old []wire.Member
 	for _, h := range r.Hosts() {
--- a/internal/rig/starthelp_test.go
+++ b/internal/rig/starthelp_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/stand"
+	"onyxstream/internal/tomlfile"
 )
 
 // launch starts the processes.
@@ -99,7 +99,7 @@
 
 func startFleet(nodes int, change func(*Fleet)) Fleet {
 	f := coldFleet(nodes)
-	f.Hosts, f.List.AskWithin = 4, conf.Duration(3*time.Second)
+	f.Hosts, f.List.AskWithin = 4, tomlfile.Duration(3*time.Second)
 	if change != nil {
 		change(&f)
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"onyxstream/internal/conf"
+	"onyxstream/internal/tomlfile"
 )
 
 func TestMain(m *testing.M) {
@@ -38,7 +38,7 @@
 })
 
 func smallSpec() Spec {
-	return Spec{Name: "small", Seed: 1, Hollow: []int{3, 50}, Real: []int{3}, Hosts: 10, Rest: conf.Duration(time.Second),
+	return Spec{Name: "small", Seed: 1, Hollow: []int{3, 50}, Real: []int{3}, Hosts: 10, Rest: tomlfile.Duration(time.Second),
 		Changes: 5, PerDay: 1600, Factor: 720, Restart: 0.1, MemoryMB: 4000, Target: Target{Nodes: 2600, BytesPerS: 2000}}
 }
 
@@ -126,7 +126,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := conf.Decode("scale.toml", good, &Spec{}); err != nil {
+	if err := tomlfile.Decode("scale.toml", good, &Spec{}); err != nil {
 		t.Fatalf("the example: %v", err)
 	}
 	for _, c := range []struct{ old, new, want string }{
@@ -144,7 +144,7 @@
 		{"seed = 1", "sede = 1", "scale.toml:6: sede: no such key"},
 	} {
 		text := strings.Replace(string(good), c.old, c.new, 1)
-		if err := conf.Decode("scale.toml", []byte(text), &Spec{}); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+		if err := tomlfile.Decode("scale.toml", []byte(text), &Spec{}); err == nil || !strings.HasPrefix(err.Error(), c.want) {
 			t.Errorf("%s: %v, want %s", c.new, err, c.want)
 		}
 	}
--- a/internal/scale/spec.go
+++ b/internal/scale/spec.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"onyxstream/internal/conf"
+	"onyxstream/internal/tomlfile"
 )
 
 // Spec says what to measure.
@@ -17,23 +17,23 @@
 	Real   []int  `toml:"real"`   // sizes of fleets of real processes, each measured with hollow nodes too
 	Hosts  int    `toml:"hosts"`
 
-	Rest     conf.Duration `toml:"rest"`    // without a change
-	Changes  int           `toml:"changes"` // of the list, one host each
-	PerDay   float64       `toml:"per_day"` // changes a day in service
-	Factor   float64       `toml:"factor"`  // so much faster they come here
-	Restart  float64       `toml:"restart"` // share of the nodes that restart at once, in the last phase
-	MemoryMB int           `toml:"memory_mb"`
+	Rest     tomlfile.Duration `toml:"rest"`    // without a change
+	Changes  int               `toml:"changes"` // of the list, one host each
+	PerDay   float64           `toml:"per_day"` // changes a day in service
+	Factor   float64           `toml:"factor"`  // so much faster they come here
+	Restart  float64           `toml:"restart"` // share of the nodes that restart at once, in the last phase
+	MemoryMB int               `toml:"memory_mb"`
 
 	Target Target `toml:"target"`
 }
 
 // Target is the size that the samples are reckoned up to, and what a node may spend there.
 type Target struct {
-	Nodes      int           `toml:"nodes"`
-	BytesPerS  float64       `toml:"bytes_per_s"`
-	CorePart   float64       `toml:"core_part"` // of one core
-	MemoryMB   float64       `toml:"memory_mb"`
-	InForceMax conf.Duration `toml:"in_force"` // from a change until the last node has it
+	Nodes      int               `toml:"nodes"`
+	BytesPerS  float64           `toml:"bytes_per_s"`
+	CorePart   float64           `toml:"core_part"` // of one core
+	MemoryMB   float64           `toml:"memory_mb"`
+	InForceMax tomlfile.Duration `toml:"in_force"` // from a change until the last node has it
 }
 
 const (
@@ -50,33 +50,33 @@
 	return time.Duration(float64(day) / s.PerDay / s.Factor)
 }
 
-// Check says what is wrong, as a *conf.FieldError.
+// Check says what is wrong, as a *tomlfile.FieldError.
 func (s *Spec) Check() error {
 	switch {
 	case len(s.Hollow) < minSizes:
-		return conf.Wrong("hollow", "%d sizes, a slope needs %d at least", len(s.Hollow), minSizes)
+		return tomlfile.Wrong("hollow", "%d sizes, a slope needs %d at least", len(s.Hollow), minSizes)
 	case !ascending(s.Hollow, maxNodes):
-		return conf.Wrong("hollow", "sizes are to grow, from 1 to %d", maxNodes)
+		return tomlfile.Wrong("hollow", "sizes are to grow, from 1 to %d", maxNodes)
 	case !ascending(s.Real, maxReal):
-		return conf.Wrong("real", "sizes are to grow, from 1 to %d", maxReal)
+		return tomlfile.Wrong("real", "sizes are to grow, from 1 to %d", maxReal)
 	case s.Hosts < 2 || s.Hosts > maxHosts:
-		return conf.Wrong("hosts", "%d is not from 2 to %d", s.Hosts, maxHosts)
+		return tomlfile.Wrong("hosts", "%d is not from 2 to %d", s.Hosts, maxHosts)
 	case s.Rest.D() < time.Second:
-		return conf.Wrong("rest", "%v is under 1s: processor time is counted in hundredths of a second", s.Rest.D())
+		return tomlfile.Wrong("rest", "%v is under 1s: processor time is counted in hundredths of a second", s.Rest.D())
 	case s.Changes < 1 || s.Changes > maxChanges:
-		return conf.Wrong("changes", "%d is not from 1 to %d", s.Changes, maxChanges)
+		return tomlfile.Wrong("changes", "%d is not from 1 to %d", s.Changes, maxChanges)
 	case !(s.PerDay > 0):
-		return conf.Wrong("per_day", "%g is not above 0", s.PerDay)
+		return tomlfile.Wrong("per_day", "%g is not above 0", s.PerDay)
 	case !(s.Factor >= 1):
-		return conf.Wrong("factor", "%g is under 1", s.Factor)
+		return tomlfile.Wrong("factor", "%g is under 1", s.Factor)
 	case s.interval() < time.Millisecond:
-		return conf.Wrong("factor", "changes would come each %v, 1ms is the least", s.interval())
+		return tomlfile.Wrong("factor", "changes would come each %v, 1ms is the least", s.interval())
 	case !(s.Restart >= 0 && s.Restart <= 1):
-		return conf.Wrong("restart", "%g is not from 0 to 1", s.Restart)
+		return tomlfile.Wrong("restart", "%g is not from 0 to 1", s.Restart)
 	case s.MemoryMB < 1:
-		return conf.Wrong("memory_mb", "%d MB for the measured processes is under 1", s.MemoryMB)
+		return tomlfile.Wrong("memory_mb", "%d MB for the measured processes is under 1", s.MemoryMB)
 	case s.Target.Nodes < 1:
-		return conf.Wrong("target.nodes", "%d is under 1", s.Target.Nodes)
+		return tomlfile.Wrong("target.nodes", "%d is under 1", s.Target.Nodes)
 	}
 	return nil
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -8,8 +8,8 @@
 	"math/rand/v2"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/rig"
+	"onyxstream/internal/tomlfile"
 )
 
 // Shape is what a plan is drawn for.
@@ -101,8 +101,8 @@
 }
 
 func (d *drawer) fault(at, length time.Duration, what, on string, by float64, over time.Duration) {
-	d.plan.Faults = append(d.plan.Faults, rig.FaultSpec{At: conf.Duration(at), For: conf.Duration(length), What: what, On: on, By: by,
-		Over: conf.Duration(over)})
+	d.plan.Faults = append(d.plan.Faults, rig.FaultSpec{At: tomlfile.Duration(at), For: tomlfile.Duration(length), What: what, On: on, By: by,
+		Over: tomlfile.Duration(over)})
 }
 
 // restartTime is how long a node is held for that is told to end: until it has started again.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,12 +13,12 @@
 	"sync/atomic"
 	"time"
 
-	"onyxstream/internal/conf"
 	"onyxstream/internal/ctxtime"
 	"onyxstream/internal/invariant"
 	"onyxstream/internal/rig"
 	"onyxstream/internal/stand"
 	"onyxstream/internal/sysfault"
+	"onyxstream/internal/tomlfile"
 )
 
 // Config says how a plan is played.
@@ -55,11 +55,11 @@
 
 // fleet is what a plan is played on.
 func fleet(p Plan, s Shape) rig.Fleet {
-	return rig.Fleet{Nodes: s.Nodes, Hosts: s.Hosts, Mode: p.Mode, Links: true, Park: conf.Duration(time.Second), Sockets: 256, MemoryMB: 64,
-		Host: rig.Host{Cores: 4, Load: 0.001, Setup: conf.Duration(2 * time.Millisecond), Cold: 0.4, Warm: conf.Duration(3 * time.Second),
-			Fall: 4, FallIn: conf.Duration(time.Second)},
-		Quota: float64(s.Nodes * 20), FrontNotice: conf.Duration(300 * time.Millisecond),
-		List: rig.List{Cost: conf.Duration(time.Millisecond), Push: p.Push, Links: true, AskWithin: conf.Duration(3 * time.Second)}}
+	return rig.Fleet{Nodes: s.Nodes, Hosts: s.Hosts, Mode: p.Mode, Links: true, Park: tomlfile.Duration(time.Second), Sockets: 256, MemoryMB: 64,
+		Host: rig.Host{Cores: 4, Load: 0.001, Setup: tomlfile.Duration(2 * time.Millisecond), Cold: 0.4, Warm: tomlfile.Duration(3 * time.Second),
+			Fall: 4, FallIn: tomlfile.Duration(time.Second)},
+		Quota: float64(s.Nodes * 20), FrontNotice: tomlfile.Duration(300 * time.Millisecond),
+		List: rig.List{Cost: tomlfile.Duration(time.Millisecond), Push: p.Push, Links: true, AskWithin: tomlfile.Duration(3 * time.Second)}}
 }
 
 // Play plays a plan and judges it. The error says that the run itself failed: it is no verdict on the nodes but where one
--- a/internal/conf/conf.go
+++ b/internal/tomlfile/tomlfile.go
@@ -1,6 +1,6 @@
-// Package conf reads TOML files of the project's own strictly: a key that is not known, a value that does not fit or a
+// Package tomlfile reads TOML files of the project's own strictly: a key that is not known, a value that does not fit or a
 // meaning that can't be is refused with file, line and key.
-package conf
+package tomlfile
 
 import (
 	"bytes"
