--- a/cmd/onyxstream/log_test.go
+++ b/cmd/onyxstream/log_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"testing"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -29,14 +28,7 @@
 		p.open(t, "").hears("UP ")
 	}
 	p.signal(t)
-	select {
-	case err := <-p.done:
-		if err != nil {
-			t.Errorf("the node ended with %v", err)
-		}
-	case <-time.After(long):
-		t.Error("the node does not end")
-	}
+	p.ended(t)
 }
 
 // A log that nobody reads must not hold up the node: a write to a full pipe blocked whoever had a line to write, the loop
