Failing test: a goroutine that fails behind the first line leaves its client unanswered

Cause: found on reading the change again. Driver.start's recover keeps the process, but serve has closed the client by then; its comment said that nothing was taken on before drive, and a line may have been read. Measured: EOF in place of ERR.

--- a/internal/driver/faults_test.go
+++ b/internal/driver/faults_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"onyxstream/brain"
+	"onyxstream/internal/wire"
 )
 
 // failedCall is a read that failed as the system reports it.
@@ -159,3 +160,23 @@
 		t.Errorf("%d connections and %d places are left", len(r.d.conns), r.d.early.Len())
 	}
 }
+
+// A request whose line was read has its answer also where its goroutine fails right behind that. This driver has no node to
+// ask, so looking up the request's class fails.
+func TestServe_PanicsBehindTheFirstLine_IsAnswered(t *testing.T) {
+	d := New(Config{Sockets: 256}, zap.NewNop())
+	client, server := pair(t)
+	if !d.take(server) {
+		t.Fatal("the client is not taken")
+	}
+	if _, err := io.WriteString(client, "OPEN id key c=chat,d=1000\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.SetDeadline(time.Now().Add(10 * time.Second))
+	answer := make([]byte, len(wire.Err))
+	if n, err := io.ReadFull(client, answer); err != nil || string(answer) != wire.Err {
+		t.Errorf("heard %q, error %v", answer[:n], err)
+	}
+	_ = client.Close()
+	d.clients.Wait()
+}
