--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -205,6 +205,7 @@
 func (b *Brain) noteSend(s *server) {
 	s.tokens--
 	if s.mostRecent > 0 {
+		b.recentSends(s) // keeps those of one window alone
 		s.sentAt = append(s.sentAt, b.now)
 	}
 }
--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -179,6 +179,7 @@
 // serve is the life of the connection.
 func (c *conn) serve() {
 	defer c.client.Close()
+	defer c.answerPanic()
 	var in wire.Inbox
 	defer in.Free()
 	if !c.hello(&in) {
@@ -216,6 +217,14 @@
 	c.drive(until)
 }
 
+// answerPanic answers a client whose goroutine fails before drive has it, which does the same: its line may have been read.
+func (c *conn) answerPanic() {
+	if p := recover(); p != nil {
+		c.d.log.Error("a connection failed badly", zap.Any("panic", p), zap.Stack("stack"))
+		c.finish(wire.Err)
+	}
+}
+
 // endClient ends the client's side once serve has nothing more for it.
 func (c *conn) endClient() {
 	close(c.ended)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -165,7 +165,7 @@
 			delete(d.conns, c)
 			d.release(c)
 		}()
-		defer d.caught("a connection failed badly") // drive answers its client first; before that nothing was taken on
+		defer d.caught("a connection failed badly") // serve and drive have answered their client by then
 		life()
 	}()
 }
--- a/internal/driver/retry.go
+++ b/internal/driver/retry.go
@@ -2,8 +2,9 @@
 
 import (
 	"net"
-	"onyxstream/internal/syserr"
 	"time"
+
+	"onyxstream/internal/syserr"
 )
 
 // A read or a write may fail for want of memory in the system, and succeed a moment later: the connection is whole. Who took
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -117,8 +117,8 @@
 	return budget + 2*math.Sqrt(budget) + 2
 }
 
-// CheckSlowStart finds whether one node alone sent a cold host more than all may in that time. What all sent is not known
-// here: a node that breaks this breaks the rule for certain, one that does not may still take part in it.
+// CheckSlowStart finds whether one node alone sent a cold host more than all may in that time, by what is reckoned of its
+// capacity: the settings do not tell that. What all sent is not known here: a node that passes may still take part in a fall.
 func CheckSlowStart(request, host string, sent int, budget float64) (Violation, bool) {
 	return Violation{OverSlowStart, request, host, 0}, float64(sent) > SlowStartLimit(budget)
 }
