Bytes that are dropped from a client without a final answer are logged and counted

Hypotheses, and what tells them apart:

- a line is read before the last look and lost on the way to the parser: no line of this log, but losses;
- the connection is evicted or shut down: "client evicted", "shutting down" in the log;
- the line comes between the last look and the FIN: this line, unread_before_fin above 0;
- it comes as the FIN is under way or later: this line, unread_before_fin 0.

lingerClose now reports what it drops of a client that has had no final answer, as a log line and as a violation of the rule "unanswered". The rejection at a shutdown and the failure after a panic are recorded as answers, as they are.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -138,6 +138,7 @@
 func (c *conn) answerOnPanic() {
 	if panicked := recover(); panicked != nil {
 		c.proxy.log.Error("connection panicked", zap.Any("panic", panicked), zap.Stack("stack"))
+		c.countAnswer(errored)
 		c.answer(wire.Failure)
 	}
 }
--- a/internal/proxy/invariants.go
+++ b/internal/proxy/invariants.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"onyxstream/internal/invariant"
 )
 
@@ -55,3 +57,24 @@
 	c.mu.Unlock()
 	c.proxy.node.Monitor().Report(invariant.CheckCompletion(completion)...)
 }
+
+// checkDiscarded checks that the bytes of a client which were read and dropped as its connection ended came from a client
+// that has its final answer. They may have been a request. unread is how many of them had arrived before the FIN.
+func (c *conn) checkDiscarded(discarded, unread int) {
+	if discarded == 0 || c.hasFinalAnswer() {
+		return
+	}
+	c.proxy.log.Info("bytes of an unanswered client discarded",
+		zap.Stringer("client", c.client.RemoteAddr()),
+		zap.Int("bytes", discarded),
+		zap.Int("unread_before_fin", unread))
+	c.proxy.node.Monitor().Report(invariant.Violation{Rule: invariant.Unanswered, Request: c.opening.ID})
+}
+
+// hasFinalAnswer reports whether the client has had its final answer. An established connection has had one, in another
+// process of the node if it was handed off.
+func (c *conn) hasFinalAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers.count > 0 || c.host != nil
+}
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -136,6 +136,7 @@
 		r.openingStarted.Store(true) // ReadAvailable does not set openingStarted
 		return true
 	case expired && r.isShuttingDown() && len(r.in.Buffered()) > 0:
+		r.countAnswer(rejected)
 		r.answer(r.proxy.rejection())
 	case expired:
 		r.lingerClose()
--- a/internal/proxy/teardown.go
+++ b/internal/proxy/teardown.go
@@ -41,20 +41,28 @@
 // lingerClose closes the node's side and waits, for at most lingerTimeout, until the client closes its own.
 func (c *conn) lingerClose() {
 	c.proxy.markAnswered(c)
+	unread := unreadBytes(c.client)
 	_ = c.client.CloseWrite()
 	c.mu.Lock()
 	c.readingStopped = true
 	c.mu.Unlock()
+	c.checkDiscarded(c.discardUntilClosed(), unread)
+}
+
+// discardUntilClosed reads and drops what the client still sends until the client closes its side, up to lingerTimeout
+// and maxLingerBytes. It returns the number of bytes dropped.
+func (c *conn) discardUntilClosed() (discarded int) {
 	_ = c.client.SetReadDeadline(time.Now().Add(lingerTimeout))
 	buffer := wire.GetBuffer()
 	defer buffer.Release()
-	for read := 0; read < maxLingerBytes; {
+	for discarded < maxLingerBytes {
 		n, err := netio.Read(c.client, buffer[:])
-		read += n
+		discarded += n
 		if err != nil {
-			return
+			break
 		}
 	}
+	return discarded
 }
 
 // stopReading makes forwardClient return, so that only lingerClose reads the client's last bytes.
