A request that crosses the end of an idle connection is answered or reset, never dropped

What callers saw: a client sent a whole line on a resting connection, saw an orderly end, and got neither an answer nor a reset. It could not tell that its request had not run.

Cause: at the timeout, and at a shutdown, openingReader.receive looks for bytes, finds none and calls lingerClose, which sends FIN and then reads on for up to 500 ms. What arrives between the look and the FIN, or crosses the FIN, is read and dropped. lingerClose protects a final answer that was written before; here there is none. A flag also kept a second look from being made once the first one had found a part of a line.

Change: readOrClose makes the last look, and closes the connection if nothing has been received, both under the connection's mutex, and nothing is read behind the look. What lies unread at a close, or arrives later, is reset by the kernel, which says that it was not read. Every expired wait is followed by a look. A connection on which nothing arrives still ends with FIN and without a byte.

TestShutdown_OpeningUnread_ReadBeforeClose is replaced. It raced the request against the close and passed where the client read nothing and no error, which is this very loss. TestShutdown_RequestUnread_Rejected brings the order about and asks for a rejection; what comes later has to be reset, by TestIdleConnection_RequestAfterLastLook_Reset.

--- /dev/null
+++ b/internal/proxy/crossing_test.go
@@ -0,0 +1,192 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"onyxstream/internal/netio"
+	"onyxstream/internal/netio/netiotest"
+)
+
+// This file tests requests that cross the end of an idle connection. Such a request is either answered, or not read and
+// its connection reset. A connection that is closed with neither has lost its request.
+
+// tcpClosed is the kernel's TCP_CLOSE: a connection whose own side was not closed has been reset.
+const tcpClosed = 7
+
+// crossingOutcome is what a client gets for a request that crosses the end of its connection.
+type crossingOutcome string
+
+const (
+	crossingAnswered crossingOutcome = "answered"
+	crossingReset    crossingOutcome = "reset"
+	crossingLost     crossingOutcome = "closed with neither an answer nor a reset"
+)
+
+// resetTimeout is how long a reset may take to arrive on the loopback interface.
+const resetTimeout = time.Second
+
+// outcomeOf reads the client's side to its end.
+func outcomeOf(t *testing.T, client *net.TCPConn) crossingOutcome {
+	t.Helper()
+	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
+	line, err := bufio.NewReader(client).ReadString('\n')
+	switch {
+	case err == nil && line != "":
+		return crossingAnswered
+	case !errors.Is(err, io.EOF):
+		return crossingReset
+	}
+	for until := time.Now().Add(resetTimeout); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if tcpState(t, client) == tcpClosed {
+			return crossingReset
+		}
+	}
+	return crossingLost
+}
+
+// dialIdle opens a connection that sends nothing, and waits until its opening line is awaited.
+func (r *testNode) dialIdle(t *testing.T) (*net.TCPConn, *conn) {
+	t.Helper()
+	client, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	var accepted *conn
+	netiotest.Eventually(t, "the opening line is awaited", func() bool {
+		r.proxy.mu.Lock()
+		defer r.proxy.mu.Unlock()
+		for c := range r.proxy.conns {
+			if c.client.RemoteAddr().String() == client.LocalAddr().String() {
+				accepted = c
+			}
+		}
+		return accepted != nil && accepted.openingRead.Load()
+	})
+	return client.(*net.TCPConn), accepted
+}
+
+// awaitFIN waits until the remote side has ended the connection, for at most the timeout.
+func awaitFIN(t *testing.T, client *net.TCPConn, timeout time.Duration) {
+	t.Helper()
+	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if tcpState(t, client) == closeWait {
+			return
+		}
+	}
+}
+
+// blockedTime is how long a connection's goroutine gets to reach the point at which it waits.
+const blockedTime = 200 * time.Millisecond
+
+// A request that arrives after the node has looked for one must not be read and dropped. The test holds the proxy's
+// mutex, so that code which needs it between the look and the close is held up there.
+func TestIdleConnection_RequestAfterLastLook_Reset(t *testing.T) {
+	for _, end := range []struct {
+		name string
+		end  func(*Proxy, *conn) // called with the proxy's mutex held
+	}{
+		{"timeout", func(_ *Proxy, c *conn) { _ = c.client.SetReadDeadline(netio.Expired) }},
+		{"shutdown", func(p *Proxy, _ *conn) { p.beginShutdown(false) }},
+	} {
+		t.Run(end.name, func(t *testing.T) {
+			r := startNode(t, zap.NewNop(), true, startCountingHost(t, establishedLine).addr)
+			client, accepted := r.dialIdle(t)
+			r.proxy.mu.Lock()
+			end.end(r.proxy, accepted)
+			awaitFIN(t, client, blockedTime)
+			_, _ = io.WriteString(client, openRequest+"\r\n")
+			r.proxy.mu.Unlock()
+			if got := outcomeOf(t, client); got != crossingReset {
+				t.Errorf("request: %s; want a reset", got)
+			}
+		})
+	}
+}
+
+// A request that arrives after the timeout, but before the node has looked for one, is served. The test holds the
+// connection's mutex, under which the node looks and closes.
+func TestIdleConnection_RequestBeforeLastLook_Served(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true, startCountingHost(t, establishedLine).addr)
+	client, accepted := r.dialIdle(t)
+	time.Sleep(blockedTime) // until the connection's goroutine waits for bytes
+	accepted.mu.Lock()
+	_ = accepted.client.SetReadDeadline(netio.Expired)
+	time.Sleep(blockedTime)
+	_, _ = io.WriteString(client, openRequest+"\r\n")
+	netiotest.Eventually(t, "the request is received", func() bool { return netiotest.UnreadBytes(t, accepted.client) > 0 })
+	accepted.mu.Unlock()
+	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if line, err := bufio.NewReader(client).ReadString('\n'); line != establishedLine || err != nil {
+		t.Errorf("request: read %q, error %v; want an established connection", line, err)
+	}
+}
+
+const (
+	crossings      = 100                    // requests for each kind of end
+	crossingSeed   = 62                     // seed of the times at which they are sent
+	crossingSpread = 100 * time.Microsecond // requests are sent within so much after the end has begun
+)
+
+// A request that crosses the end of an idle connection at any moment is answered or reset, whatever ends the connection.
+func TestIdleConnection_RequestCrossesEnd_AnsweredOrReset(t *testing.T) {
+	host := respondingHost(t, establishedLine)
+	for _, end := range []struct {
+		name string
+		end  func(*Proxy, *conn)
+	}{
+		{"timeout", func(_ *Proxy, c *conn) { _ = c.client.SetReadDeadline(netio.Expired) }},
+		{"shutdown", func(p *Proxy, _ *conn) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.beginShutdown(false)
+		}},
+	} {
+		t.Run(end.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(crossingSeed, 0))
+			outcomes := map[crossingOutcome]int{}
+			for range crossings {
+				outcomes[crossEnd(t, host, random, end.end)]++
+			}
+			t.Logf("outcomes: %v", outcomes)
+			if outcomes[crossingLost] > 0 {
+				t.Errorf("%d requests lost", outcomes[crossingLost])
+			}
+		})
+	}
+}
+
+// crossEnd ends the idle connection of a new node, and sends a request on it at about the same time.
+func crossEnd(t *testing.T, host string, random *rand.Rand, end func(*Proxy, *conn)) crossingOutcome {
+	t.Helper()
+	r := startNode(t, zap.NewNop(), true, host)
+	defer r.stop()
+	client, accepted := r.dialIdle(t)
+	defer client.Close()
+	endAt := time.Now().Add(crossingSpread)
+	sendAt := endAt.Add(time.Duration(random.Int64N(int64(crossingSpread))))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		waitUntil(endAt)
+		end(r.proxy, accepted)
+	}()
+	waitUntil(sendAt)
+	_, _ = io.WriteString(client, openRequest+"\r\n")
+	<-ended
+	return outcomeOf(t, client)
+}
+
+// waitUntil waits without giving up the processor, because a sleep is not exact enough.
+func waitUntil(at time.Time) {
+	for time.Now().Before(at) {
+	}
+}
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -33,7 +33,6 @@
 type openingReader struct {
 	*conn
 	in           *wire.LineBuffer
-	timedOut     bool // the deadline has passed, and what had been received by then was read
 	healthChecks healthCheckRate
 }
 
@@ -109,7 +108,6 @@
 	if err != nil || !r.proxy.renew(r.conn) {
 		return false
 	}
-	r.timedOut = false
 	r.setOpeningDeadline(r.healthChecks.last.Add(openingTimeout))
 	moreBytes := len(r.in.Buffered()) > 0
 	r.idle.Store(!moreBytes)
@@ -118,32 +116,50 @@
 }
 
 // receive reads more of the opening line. It reports false if the connection has ended. When the timeout or a shutdown
-// ends the wait, receive reads once more what has been received by then, because a close would lose a request that has
-// just arrived, without an answer. If nothing more has been received, receive rejects a client whose line is incomplete
-// during a shutdown, and otherwise closes the connection without an answer.
+// ends the wait, receive reads what has been received by then, because a close would lose a request that has just
+// arrived. If nothing has been received, the connection is closed. If the line is incomplete, the client is rejected
+// during a shutdown, and its connection is closed without an answer otherwise.
 func (r *openingReader) receive() bool {
 	r.openingRead.Store(true)
 	n, err := r.awaitBytes(r.in.Space())
 	expired := n == 0 && netio.IsDeadlineExceeded(err)
-	if expired && !r.timedOut {
-		r.timedOut = true
-		n, _ = netio.ReadAvailable(r.client, r.in.Space())
+	if expired {
+		n = r.readOrClose(r.in.Space())
 	}
 	r.in.Advance(n)
+	incomplete := len(r.in.Buffered()) > 0
 	switch {
 	case n > 0:
 		r.idle.Store(false)
-		r.openingStarted.Store(true) // ReadAvailable does not set openingStarted
 		return true
-	case expired && r.isShuttingDown() && len(r.in.Buffered()) > 0:
+	case expired && incomplete && r.isShuttingDown():
 		r.countAnswer(rejected)
 		r.answer(r.proxy.rejection())
-	case expired:
+	case expired && incomplete:
 		r.lingerClose()
 	}
 	return false
 }
 
+// readOrClose reads what has been received of the opening line. If no part of the line has been received, it closes the
+// connection instead. It holds mu, so that nothing else reads between the two: a request that arrives after the read is
+// unread when the connection is closed, and the kernel sends a reset for it.
+func (c *conn) readOrClose(into []byte) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return 0
+	}
+	n, _ = netio.ReadAvailable(c.client, into)
+	if n > 0 {
+		c.openingStarted.Store(true)
+	}
+	if !c.openingStarted.Load() {
+		_ = c.client.Close()
+	}
+	return n
+}
+
 // awaitBytes waits until bytes of the opening line arrive, and reads them.
 func (c *conn) awaitBytes(into []byte) (n int, err error) {
 	raw, err := c.client.SyscallConn()
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -62,21 +62,33 @@
 	}
 }
 
-// Bytes that are unread when the shutdown begins are read before the close.
-func TestShutdown_OpeningUnread_ReadBeforeClose(t *testing.T) {
+// A request that is unread when the shutdown begins is rejected. The test holds the connection's mutex, under which bytes
+// are read, until the request has arrived and the shutdown is about to begin.
+func TestShutdown_RequestUnread_Rejected(t *testing.T) {
 	r := startNode(t, zap.NewNop(), true)
-	client, in := r.open(t, healthCheck)
-	if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
-		t.Fatalf("health check: read %q, error %v; want PONG", line, err)
-	}
-	r.onlyConn(t)
-	r.proxy.mu.Lock()
-	r.proxy.beginShutdown(false) // wakes the reader, which reads the line below, or nothing if it is faster
+	client, accepted := r.dialIdle(t)
+	accepted.mu.Lock()
+	begun := make(chan struct{})
+	go func() {
+		defer close(begun)
+		r.proxy.mu.Lock()
+		defer r.proxy.mu.Unlock()
+		r.proxy.beginShutdown(false)
+	}()
 	_, _ = io.WriteString(client, openRequest+"\r\n")
-	r.proxy.mu.Unlock()
-	all, err := io.ReadAll(in)
-	if err != nil || len(all) > 0 && !strings.HasPrefix(string(all), rejectionPrefix) {
-		t.Errorf("client read %q, error %v; want a rejection or nothing", all, err)
+	netiotest.Eventually(t, "the request is received", func() bool { return netiotest.UnreadBytes(t, accepted.client) > 0 })
+	netiotest.Eventually(t, "the shutdown holds the proxy's mutex", func() bool {
+		if r.proxy.mu.TryLock() {
+			r.proxy.mu.Unlock()
+			return false
+		}
+		return true
+	})
+	accepted.mu.Unlock()
+	<-begun
+	all, err := io.ReadAll(client)
+	if err != nil || !strings.HasPrefix(string(all), rejectionPrefix) {
+		t.Errorf("client read %q, error %v; want a rejection", all, err)
 	}
 }
 
--- a/internal/proxy/teardown.go
+++ b/internal/proxy/teardown.go
@@ -9,7 +9,10 @@
 )
 
 // This file closes client connections. Closing a socket that has unread bytes sends a reset, and then the client may
-// lose data that was written before. So every function here except reset reads what has been received before it closes:
+// lose data that was written before. So every function here except reset reads what has been received before it closes.
+// Bytes that are read and dropped may be a request, so a client must have had its final answer before. A client that has
+// none, and of which nothing was read, is closed by conn.readOrClose: there the reset is wanted, because it tells the
+// client that its request was not read.
 //
 //   - answer writes a line and sends FIN. Then it reads and drops what the client still sends until the client closes
 //     its side, up to lingerTimeout and maxLingerBytes.
