A client whose opening line is incomplete at the timeout gets its error

Cause: receive closed such a connection by lingerClose without a line, and read and dropped the rest. At a shutdown and at an eviction half a line has long been answered; the timeout was the one path left.

Change: the request fails as a protocol violation, "line incomplete at the timeout".

Measured: TestReadOpening_LineIncompleteAtTimeout_Fails, with the rest of the line arriving before the end and without it: before, both read nothing; after, both read the failure.

TestProtocolViolation_EndlessInput_Closed asked that the client that stops in the middle gets not one byte before the close. It now asks for the error and the orderly close behind it, no later than before.

--- a/cmd/onyxstream/protocol_violations_test.go
+++ b/cmd/onyxstream/protocol_violations_test.go
@@ -101,7 +101,7 @@
 }
 
 // The node must close the connection of a client that sends an endless line, a trickle of bytes, an incomplete line, or
-// PINGs in quick succession.
+// PINGs in quick succession. A client that stops in the middle of its line and stays must get an error before.
 func TestProtocolViolation_EndlessInput_Closed(t *testing.T) {
 	t.Parallel()
 	host := newFakeHost(t, "h1")
@@ -119,6 +119,7 @@
 			t.Errorf("node did not close the connection with %s", name)
 		}
 	}
+	half.expectLine("ERR")
 	half.expectClose(false)
 	halfClosed.expectClose(false)
 	if n := len(host.openingLines()); n != 0 {
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -24,6 +24,7 @@
 var (
 	errUnknownClass      = errors.New("class or tenant is not configured")
 	errRapidHealthChecks = errors.New("too many health checks in a row")
+	errIncompleteLine    = errors.New("line incomplete at the timeout")
 	// errEarlyData is the protocol violation of a client that sends data before the connection is established. Only a
 	// mid-flow client may do so.
 	errEarlyData = errors.New("data before the connection was established")
@@ -117,8 +118,8 @@
 
 // receive reads more of the opening line. It reports false if the connection has ended. When the timeout or a shutdown
 // ends the wait, receive reads what has been received by then, because a close would lose a request that has just
-// arrived. If nothing has been received, the connection is closed. If the line is incomplete, the client is rejected
-// during a shutdown, and its connection is closed without an answer otherwise.
+// arrived. If nothing has been received, the connection is closed. A client whose line is incomplete gets a final answer:
+// it is rejected during a shutdown, and its request fails at the timeout.
 func (r *openingReader) receive() bool {
 	r.openingRead.Store(true)
 	n, err := r.awaitBytes(r.in.Space())
@@ -136,7 +137,7 @@
 		r.countAnswer(rejected)
 		r.answer(r.proxy.rejection())
 	case expired && incomplete:
-		r.lingerClose()
+		r.rejectViolation(errIncompleteLine)
 	}
 	return false
 }
--- a/internal/proxy/opening_test.go
+++ b/internal/proxy/opening_test.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"onyxstream/internal/netio"
+	"onyxstream/internal/netio/netiotest"
 	"onyxstream/internal/wire"
 )
 
@@ -38,3 +40,23 @@
 		t.Errorf("request: read %q, error %v; want an established connection", line, err)
 	}
 }
+
+// The request of a client whose opening line is incomplete at the timeout fails, because the rest of the line may already
+// be on the way, and a close without an answer would lose the request.
+func TestReadOpening_LineIncompleteAtTimeout_Fails(t *testing.T) {
+	for _, rest := range []string{"", "at,d=5000\r\n"} {
+		r := startNode(t, zap.NewNop(), true)
+		client, accepted := r.dialIdle(t)
+		_, _ = io.WriteString(client, "OPEN a key c=ch")
+		netiotest.Eventually(t, "a part of the line is read", accepted.openingStarted.Load)
+		r.proxy.mu.Lock() // holds up the end of the connection, so that the rest arrives before it
+		_ = accepted.client.SetReadDeadline(netio.Expired)
+		awaitFIN(t, client, blockedTime)
+		_, _ = io.WriteString(client, rest)
+		r.proxy.mu.Unlock()
+		_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if all, err := io.ReadAll(client); string(all) != wire.Failure || err != nil {
+			t.Errorf("rest %q: client read %q, error %v; want a failure", rest, all, err)
+		}
+	}
+}
