A client's goroutine does not close the connection before its eviction has rejected it

What callers saw: a client whose request arrived just before it was evicted for a newer one read an orderly end, with neither an answer nor a reset.

Cause: the eviction reads the request and marks the connection, and writes its rejection later. In between, the client's goroutine wakes for the same bytes, sees the mark, returns from readOpening and closes the connection; the rejection then fails on a closed socket.

Change: the eviction writes the rejection under the connection's mutex, in the same step in which it reads and marks. The mark tells why the reading has ended, so that a last look that follows an eviction does not read either.

A first try closed the connection under its mutex; it hung in this test, because a close waits for the read that waits for the mutex.

--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -181,11 +181,8 @@
 // evict closes an unadmitted client. A client that has begun its opening line is rejected, because a close without an
 // answer would lose its request. The caller holds mu; the write does not block, because the send buffer is empty.
 func (p *Proxy) evict(c *conn) {
-	message := ""
-	if !c.answered && c.stopReadingOpening() {
-		message = p.rejection()
-	}
-	p.log.Info("client evicted for a newer one", zap.Bool("rejected", message != ""), zap.Bool("answered", c.answered))
+	rejected := !c.answered && c.evictOpening()
+	p.log.Info("client evicted for a newer one", zap.Bool("rejected", rejected), zap.Bool("answered", c.answered))
 	p.release(c)
-	closeWithLine(c.client, message)
+	closeWithLine(c.client, "")
 }
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -50,7 +50,7 @@
 	// What this node has decided about the end of the connection.
 	aborted        bool // this node has reset both sides
 	shuttingDown   bool // no attempt may establish the connection any more
-	evicted        bool // the opening line must not be read any further
+	openingEnd     openingEnd
 	readingStopped bool // the client must not be read any further for its host
 
 	// The hand-off to another process of the node.
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -94,7 +94,7 @@
 		name string
 		end  func(*Proxy, *conn) // called with the proxy's mutex held
 	}{
-		{"timeout", func(_ *Proxy, c *conn) { _ = c.client.SetReadDeadline(netio.Expired) }},
+		{"timeout", timeOut},
 		{"shutdown", func(p *Proxy, _ *conn) { p.beginShutdown(false) }},
 	} {
 		t.Run(end.name, func(t *testing.T) {
@@ -133,56 +133,89 @@
 const (
 	crossings      = 100                    // requests for each kind of end
 	crossingSeed   = 62                     // seed of the times at which they are sent
-	crossingSpread = 100 * time.Microsecond // requests are sent within so much after the end has begun
+	crossingSpread = 100 * time.Microsecond // requests are sent within a time span of this length
 )
 
+// timeOut lets the timeout of a connection's opening line pass.
+func timeOut(_ *Proxy, c *conn) { _ = c.client.SetReadDeadline(netio.Expired) }
+
+func shutDownProxy(p *Proxy, _ *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beginShutdown(false)
+}
+
+// evictUnadmitted evicts a client, unless its request has been admitted already.
+func evictUnadmitted(p *Proxy, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.unadmitted != nil {
+		p.evict(c)
+	}
+}
+
 // A request that crosses the end of an idle connection at any moment is answered or reset, whatever ends the connection.
 func TestIdleConnection_RequestCrossesEnd_AnsweredOrReset(t *testing.T) {
-	host := respondingHost(t, establishedLine)
-	for _, end := range []struct {
-		name string
-		end  func(*Proxy, *conn)
-	}{
-		{"timeout", func(_ *Proxy, c *conn) { _ = c.client.SetReadDeadline(netio.Expired) }},
-		{"shutdown", func(p *Proxy, _ *conn) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.beginShutdown(false)
-		}},
-	} {
-		t.Run(end.name, func(t *testing.T) {
-			random := rand.New(rand.NewPCG(crossingSeed, 0))
-			outcomes := map[crossingOutcome]int{}
-			for range crossings {
-				outcomes[crossEnd(t, host, random, end.end)]++
-			}
-			t.Logf("outcomes: %v", outcomes)
-			if outcomes[crossingLost] > 0 {
-				t.Errorf("%d requests lost", outcomes[crossingLost])
+	for name, end := range map[string]func(*Proxy, *conn){"timeout": timeOut, "shutdown": shutDownProxy} {
+		t.Run(name, func(t *testing.T) {
+			early, late := crossEnds(t, end, 0)
+			if lost := early[crossingLost] + late[crossingLost]; lost > 0 {
+				t.Errorf("%d requests %s", lost, crossingLost)
 			}
 		})
 	}
 }
 
-// crossEnd ends the idle connection of a new node, and sends a request on it at about the same time.
-func crossEnd(t *testing.T, host string, random *rand.Rand, end func(*Proxy, *conn)) crossingOutcome {
+// A request that arrives just before its client is evicted is answered: the client's goroutine must not close the
+// connection between the eviction's last read and its rejection.
+func TestEvict_RequestJustBefore_Answered(t *testing.T) {
+	early, _ := crossEnds(t, evictUnadmitted, -crossingSpread)
+	if early[crossingLost]+early[crossingReset] > 0 {
+		t.Errorf("requests sent before the eviction: %v; want all answered", early)
+	}
+}
+
+// crossEnds lets requests cross the ends of idle connections. Each request is sent up to crossingSpread after the given
+// time, which counts from the beginning of the end. early has the outcomes of the requests that were written before that,
+// late those of the others.
+func crossEnds(t *testing.T, end func(*Proxy, *conn), from time.Duration) (early, late map[crossingOutcome]int) {
+	t.Helper()
+	host := respondingHost(t, establishedLine)
+	random := rand.New(rand.NewPCG(crossingSeed, 0))
+	early, late = map[crossingOutcome]int{}, map[crossingOutcome]int{}
+	for range crossings {
+		outcome, isEarly := crossEnd(t, host, end, from+time.Duration(random.Int64N(int64(crossingSpread))))
+		if isEarly {
+			early[outcome]++
+		} else {
+			late[outcome]++
+		}
+	}
+	t.Logf("requests written before the end: %v, others: %v", early, late)
+	return early, late
+}
+
+// crossEnd ends the idle connection of a new node, and sends a request on it so much after the end has begun. isEarly
+// tells whether the request was written before that.
+func crossEnd(t *testing.T, host string, end func(*Proxy, *conn), after time.Duration) (_ crossingOutcome, isEarly bool) {
 	t.Helper()
 	r := startNode(t, zap.NewNop(), true, host)
 	defer r.stop()
 	client, accepted := r.dialIdle(t)
 	defer client.Close()
-	endAt := time.Now().Add(crossingSpread)
-	sendAt := endAt.Add(time.Duration(random.Int64N(int64(crossingSpread))))
-	ended := make(chan struct{})
+	endAt := time.Now().Add(2 * crossingSpread)
+	began := make(chan time.Time, 1)
 	go func() {
-		defer close(ended)
 		waitUntil(endAt)
+		at := time.Now()
 		end(r.proxy, accepted)
+		began <- at
 	}()
-	waitUntil(sendAt)
+	waitUntil(endAt.Add(after))
 	_, _ = io.WriteString(client, openRequest+"\r\n")
-	<-ended
-	return outcomeOf(t, client)
+	written := time.Now()
+	isEarly = written.Before(<-began)
+	return outcomeOf(t, client), isEarly
 }
 
 // waitUntil waits without giving up the processor, because a sleep is not exact enough.
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -125,7 +125,7 @@
 	n, err := r.awaitBytes(r.in.Space())
 	expired := n == 0 && netio.IsDeadlineExceeded(err)
 	if expired {
-		n = r.readOrClose(r.in.Space())
+		n = r.readOrEnd(r.in.Space())
 	}
 	r.in.Advance(n)
 	incomplete := len(r.in.Buffered()) > 0
@@ -139,26 +139,60 @@
 	case expired && incomplete:
 		r.rejectViolation(errIncompleteLine)
 	}
-	return false
+	return false // serve closes the connection without reading it
 }
 
-// readOrClose reads what has been received of the opening line. If no part of the line has been received, it closes the
-// connection instead. It holds mu, so that nothing else reads between the two: a request that arrives after the read is
-// unread when the connection is closed, and the kernel sends a reset for it.
-func (c *conn) readOrClose(into []byte) (n int) {
+// openingEnd tells how the node has ended the reading of an opening line.
+type openingEnd uint8
+
+const (
+	openingNotEnded      openingEnd = iota
+	openingEndedUnread              // no part of the line was received: the connection must be closed without reading it
+	openingEndedAnswered            // a part of the line was received, and the client has been given its final answer
+)
+
+// readOrEnd reads what has been received of the opening line. If no part of the line has been received, it ends the
+// reading, and the caller must close the connection. Nothing reads the client between the two, so a request that arrives
+// after readOrEnd is unread when the connection is closed, and the kernel sends a reset for it.
+func (c *conn) readOrEnd(into []byte) (n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.evicted {
+	n = c.readReceived(into)
+	if !c.openingStarted.Load() {
+		c.openingEnd = openingEndedUnread
+	}
+	return n
+}
+
+// readReceived reads what has been received of the opening line, unless the reading has ended. The caller holds mu.
+func (c *conn) readReceived(into []byte) (n int) {
+	if c.openingEnd != openingNotEnded {
 		return 0
 	}
 	n, _ = netio.ReadAvailable(c.client, into)
 	if n > 0 {
 		c.openingStarted.Store(true)
 	}
+	return n
+}
+
+// evictOpening ends the reading of the opening line for an eviction. If any part of the line has been received, it rejects
+// the client, and reports true. It holds mu until the rejection is written, because the client's goroutine closes the
+// connection when it sees that the reading has ended. It does not close the connection itself: a close waits for
+// readUnlessEnded, which may wait for mu.
+func (c *conn) evictOpening() (rejected bool) {
+	buffer := wire.GetBuffer()
+	defer buffer.Release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readReceived(buffer[:])
 	if !c.openingStarted.Load() {
-		_ = c.client.Close()
+		c.openingEnd = openingEndedUnread
+		return false
 	}
-	return n
+	c.openingEnd = openingEndedAnswered
+	writeAndDiscard(c.client, c.proxy.rejection())
+	return true
 }
 
 // awaitBytes waits until bytes of the opening line arrive, and reads them.
@@ -168,19 +202,19 @@
 		return 0, err
 	}
 	err = netio.RetryLowMemory(func() error {
-		n, err = c.readUnlessEvicted(raw, into)
+		n, err = c.readUnlessEnded(raw, into)
 		return err
 	})
 	return n, err
 }
 
-// readUnlessEvicted waits until bytes arrive, and reads them. It holds mu while it reads bytes and records that they
-// were received, so that stopReadingOpening, which an eviction calls, either finds the bytes unread or sees the record.
-func (c *conn) readUnlessEvicted(raw syscall.RawConn, into []byte) (n int, err error) {
+// readUnlessEnded waits until bytes arrive, and reads them. It holds mu while it reads bytes and records that they
+// were received, so that evictOpening either finds the bytes unread or sees the record.
+func (c *conn) readUnlessEnded(raw syscall.RawConn, into []byte) (n int, err error) {
 	waitErr := raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.evicted {
+		if c.openingEnd != openingNotEnded {
 			n, err = 0, net.ErrClosed
 			return true
 		}
@@ -196,17 +230,6 @@
 	return n, err
 }
 
-// stopReadingOpening stops the reading of the opening line, and reports whether any part of the line was received.
-func (c *conn) stopReadingOpening() (started bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evicted = true
-	buffer := wire.GetBuffer()
-	defer buffer.Release()
-	n, _ := netio.ReadAvailable(c.client, buffer[:])
-	return n > 0 || c.openingStarted.Load()
-}
-
 // setOpeningDeadline sets the deadline for the opening line. During a shutdown it sets one that has passed already, so
 // that the wait ends at once.
 func (c *conn) setOpeningDeadline(deadline time.Time) {
--- a/internal/proxy/teardown.go
+++ b/internal/proxy/teardown.go
@@ -11,8 +11,8 @@
 // This file closes client connections. Closing a socket that has unread bytes sends a reset, and then the client may
 // lose data that was written before. So every function here except reset reads what has been received before it closes.
 // Bytes that are read and dropped may be a request, so a client must have had its final answer before. A client that has
-// none, and of which nothing was read, is closed by conn.readOrClose: there the reset is wanted, because it tells the
-// client that its request was not read.
+// none, and of which nothing was read, is closed plainly once conn.readOrEnd has ended the reading: there the reset is
+// wanted, because it tells the client that its request was not read.
 //
 //   - answer writes a line and sends FIN. Then it reads and drops what the client still sends until the client closes
 //     its side, up to lingerTimeout and maxLingerBytes.
@@ -78,6 +78,12 @@
 
 // closeWithLine writes a line, unless it is empty, and closes the connection without waiting for the client.
 func closeWithLine(client *net.TCPConn, line string) {
+	writeAndDiscard(client, line)
+	_ = client.Close()
+}
+
+// writeAndDiscard writes a line, unless it is empty, sends FIN, and reads and drops what has been received.
+func writeAndDiscard(client *net.TCPConn, line string) {
 	_ = client.SetWriteDeadline(time.Now().Add(closeWriteTimeout))
 	if line != "" {
 		_, _ = netio.WriteAll(client, []byte(line))
@@ -92,7 +98,6 @@
 			break
 		}
 	}
-	_ = client.Close()
 }
 
 // reset closes a connection with a TCP reset.
