A request that crosses an eviction is answered or reset, never dropped

Cause: the same as at the timeout, on a path beside it. An eviction that finds nothing received called closeWithLine, which sends FIN, reads what has come since the look, drops it and closes.

Change: such a client is closed without reading. Only a client that has its answer is still read before the close, so that no reset overtakes the answer.

--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -179,10 +179,18 @@
 }
 
 // evict closes an unadmitted client. A client that has begun its opening line is rejected, because a close without an
-// answer would lose its request. The caller holds mu; the write does not block, because the send buffer is empty.
+// answer would lose its request. A client that has sent nothing is closed without reading what it sends meanwhile. The
+// caller holds mu; the write does not block, because the send buffer is empty.
 func (p *Proxy) evict(c *conn) {
-	rejected := !c.answered && c.evictOpening()
-	p.log.Info("client evicted for a newer one", zap.Bool("rejected", rejected), zap.Bool("answered", c.answered))
+	end := openingEndedAnswered
+	if !c.answered {
+		end = c.evictOpening()
+	}
+	p.log.Info("client evicted for a newer one",
+		zap.Bool("rejected", !c.answered && end == openingEndedAnswered), zap.Bool("answered", c.answered))
 	p.release(c)
-	closeWithLine(c.client, "")
+	if end == openingEndedAnswered {
+		writeAndDiscard(c.client, "")
+	}
+	_ = c.client.Close()
 }
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -156,7 +156,11 @@
 
 // A request that crosses the end of an idle connection at any moment is answered or reset, whatever ends the connection.
 func TestIdleConnection_RequestCrossesEnd_AnsweredOrReset(t *testing.T) {
-	for name, end := range map[string]func(*Proxy, *conn){"timeout": timeOut, "shutdown": shutDownProxy} {
+	for name, end := range map[string]func(*Proxy, *conn){
+		"timeout":  timeOut,
+		"shutdown": shutDownProxy,
+		"eviction": evictUnadmitted,
+	} {
 		t.Run(name, func(t *testing.T) {
 			early, late := crossEnds(t, end, 0)
 			if lost := early[crossingLost] + late[crossingLost]; lost > 0 {
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -176,11 +176,11 @@
 	return n
 }
 
-// evictOpening ends the reading of the opening line for an eviction. If any part of the line has been received, it rejects
-// the client, and reports true. It holds mu until the rejection is written, because the client's goroutine closes the
+// evictOpening ends the reading of the opening line for an eviction, and tells how. If any part of the line has been
+// received, it rejects the client. It holds mu until the rejection is written, because the client's goroutine closes the
 // connection when it sees that the reading has ended. It does not close the connection itself: a close waits for
 // readUnlessEnded, which may wait for mu.
-func (c *conn) evictOpening() (rejected bool) {
+func (c *conn) evictOpening() openingEnd {
 	buffer := wire.GetBuffer()
 	defer buffer.Release()
 	c.mu.Lock()
@@ -188,11 +188,11 @@
 	c.readReceived(buffer[:])
 	if !c.openingStarted.Load() {
 		c.openingEnd = openingEndedUnread
-		return false
+		return c.openingEnd
 	}
 	c.openingEnd = openingEndedAnswered
 	writeAndDiscard(c.client, c.proxy.rejection())
-	return true
+	return c.openingEnd
 }
 
 // awaitBytes waits until bytes of the opening line arrive, and reads them.
