A client that is evicted while it is being answered gets one final answer

What callers saw: a client that violated the protocol just before it was evicted for a newer one read two final answers, a failure and a rejection.

Cause: the client's goroutine and the eviction each write an answer, and neither knows of the other's.

Change: writeAnswer claims the answer under the connection's mutex and writes it there, without waiting for the client (netio.WriteAvailable); the second writer finds the claim and writes nothing. What a full send buffer does not take is written afterwards, as before, by the client's own goroutine. A migration is no final answer and does not claim one. The write of an eviction, and of a rejection while the proxy is closed, has no deadline of 20 ms any more: it does not wait, so that it needs none, and a node that is held up between its clock and the write can't miss it. That last is reasoned, not shown by a run.

--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"syscall"
 	"testing"
+
+	"onyxstream/internal/netio/netiotest"
 )
 
 // failedRead returns the error of a read that failed with errno.
@@ -36,3 +38,27 @@
 		}
 	}
 }
+
+// WriteAvailable must write although the write deadline has passed, and must not block when the send buffer is full.
+func TestWriteAvailable_DeadlinePassedOrBufferFull_DoesNotBlock(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, server := netiotest.Connect(t, listener.(*net.TCPListener))
+	_ = server.SetWriteDeadline(Expired)
+	if n, err := WriteAvailable(server, []byte("line")); n != 4 || err != nil {
+		t.Errorf("deadline passed: wrote %d bytes, error %v; want 4", n, err)
+	}
+	block := make([]byte, 1<<20)
+	for n := len(block); n == len(block); {
+		if n, err = WriteAvailable(server, block); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n, err := WriteAvailable(server, []byte("line")); n != 0 || err != nil {
+		t.Errorf("buffer full: wrote %d bytes, error %v; want 0", n, err)
+	}
+	_ = client.SetLinger(0)
+	_ = client.Close()
+}
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -189,8 +189,9 @@
 	p.log.Info("client evicted for a newer one",
 		zap.Bool("rejected", !c.answered && end == openingEndedAnswered), zap.Bool("answered", c.answered))
 	p.release(c)
-	if end == openingEndedAnswered {
-		writeAndDiscard(c.client, "")
+	if end == openingEndedUnread {
+		_ = c.client.Close()
+		return
 	}
-	_ = c.client.Close()
+	closeDiscarding(c.client)
 }
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -60,6 +60,7 @@
 	// Records for the final answer and for the invariant checks.
 	violatedProtocol bool         // the client sent more than its opening line before the connection was established
 	answers          answerRecord // the final answers that the client was given
+	answerWritten    bool         // a final answer of this node was written
 	disconnectedAt   time.Time    // when disconnected was closed
 
 	// Progress of the opening line, which evictions and the shutdown read.
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -28,6 +28,7 @@
 	crossingAnswered crossingOutcome = "answered"
 	crossingReset    crossingOutcome = "reset"
 	crossingLost     crossingOutcome = "closed with neither an answer nor a reset"
+	answeredTwice    crossingOutcome = "answered twice"
 )
 
 // resetTimeout is how long a reset may take to arrive on the loopback interface.
@@ -37,9 +38,15 @@
 func outcomeOf(t *testing.T, client *net.TCPConn) crossingOutcome {
 	t.Helper()
 	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
-	line, err := bufio.NewReader(client).ReadString('\n')
+	in := bufio.NewReader(client)
+	line, err := in.ReadString('\n')
 	switch {
-	case err == nil && line != "":
+	case err == nil && line == establishedLine:
+		return crossingAnswered
+	case err == nil:
+		if rest, _ := io.ReadAll(in); len(rest) > 0 {
+			return answeredTwice
+		}
 		return crossingAnswered
 	case !errors.Is(err, io.EOF):
 		return crossingReset
@@ -162,7 +169,7 @@
 		"eviction": evictUnadmitted,
 	} {
 		t.Run(name, func(t *testing.T) {
-			early, late := crossEnds(t, end, 0)
+			early, late := crossEnds(t, openRequest, end, 0)
 			if lost := early[crossingLost] + late[crossingLost]; lost > 0 {
 				t.Errorf("%d requests %s", lost, crossingLost)
 			}
@@ -173,22 +180,30 @@
 // A request that arrives just before its client is evicted is answered: the client's goroutine must not close the
 // connection between the eviction's last read and its rejection.
 func TestEvict_RequestJustBefore_Answered(t *testing.T) {
-	early, _ := crossEnds(t, evictUnadmitted, -crossingSpread)
+	early, _ := crossEnds(t, openRequest, evictUnadmitted, -crossingSpread)
 	if early[crossingLost]+early[crossingReset] > 0 {
 		t.Errorf("requests sent before the eviction: %v; want all answered", early)
 	}
 }
 
+// A client that violates the protocol just before it is evicted gets one final answer, not a failure and a rejection.
+func TestEvict_ViolationJustBefore_AnsweredOnce(t *testing.T) {
+	early, late := crossEnds(t, "nonsense", evictUnadmitted, -crossingSpread)
+	if twice := early[answeredTwice] + late[answeredTwice]; twice > 0 {
+		t.Errorf("%d clients answered twice", twice)
+	}
+}
+
 // crossEnds lets requests cross the ends of idle connections. Each request is sent up to crossingSpread after the given
 // time, which counts from the beginning of the end. early has the outcomes of the requests that were written before that,
 // late those of the others.
-func crossEnds(t *testing.T, end func(*Proxy, *conn), from time.Duration) (early, late map[crossingOutcome]int) {
+func crossEnds(t *testing.T, request string, end func(*Proxy, *conn), from time.Duration) (early, late map[crossingOutcome]int) {
 	t.Helper()
 	host := respondingHost(t, establishedLine)
 	random := rand.New(rand.NewPCG(crossingSeed, 0))
 	early, late = map[crossingOutcome]int{}, map[crossingOutcome]int{}
 	for range crossings {
-		outcome, isEarly := crossEnd(t, host, end, from+time.Duration(random.Int64N(int64(crossingSpread))))
+		outcome, isEarly := crossEnd(t, host, request, end, from+time.Duration(random.Int64N(int64(crossingSpread))))
 		if isEarly {
 			early[outcome]++
 		} else {
@@ -201,7 +216,9 @@
 
 // crossEnd ends the idle connection of a new node, and sends a request on it so much after the end has begun. isEarly
 // tells whether the request was written before that.
-func crossEnd(t *testing.T, host string, end func(*Proxy, *conn), after time.Duration) (_ crossingOutcome, isEarly bool) {
+func crossEnd(t *testing.T, host, request string, end func(*Proxy, *conn), after time.Duration) (
+	_ crossingOutcome, isEarly bool,
+) {
 	t.Helper()
 	r := startNode(t, zap.NewNop(), true, host)
 	defer r.stop()
@@ -216,7 +233,7 @@
 		began <- at
 	}()
 	waitUntil(endAt.Add(after))
-	_, _ = io.WriteString(client, openRequest+"\r\n")
+	_, _ = io.WriteString(client, request+"\r\n")
 	written := time.Now()
 	isEarly = written.Before(<-began)
 	return outcomeOf(t, client), isEarly
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -177,9 +177,9 @@
 }
 
 // evictOpening ends the reading of the opening line for an eviction, and tells how. If any part of the line has been
-// received, it rejects the client. It holds mu until the rejection is written, because the client's goroutine closes the
-// connection when it sees that the reading has ended. It does not close the connection itself: a close waits for
-// readUnlessEnded, which may wait for mu.
+// received, it rejects the client, unless that has a final answer already. It holds mu until the rejection is written,
+// because the client's goroutine closes the connection when it sees that the reading has ended. It does not close the
+// connection itself: a close waits for readUnlessEnded, which may wait for mu.
 func (c *conn) evictOpening() openingEnd {
 	buffer := wire.GetBuffer()
 	defer buffer.Release()
@@ -191,7 +191,8 @@
 		return c.openingEnd
 	}
 	c.openingEnd = openingEndedAnswered
-	writeAndDiscard(c.client, c.proxy.rejection())
+	c.writeAnswerLocked(c.proxy.rejection())
+	discardReceived(c.client)
 	return c.openingEnd
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -143,7 +143,9 @@
 	switch {
 	case migrating && !clientLeft && !r.clientBlocked && r.lines.AtLineBoundary() && !hostClosed:
 		r.stopReading()
-		r.answer(wire.Migration)
+		_ = r.client.SetWriteDeadline(time.Now().Add(lingerTimeout))
+		_, _ = netio.WriteAll(r.client, []byte(wire.Migration))
+		r.lingerClose()
 	case hostClosed:
 		_, _ = netio.WriteAll(r.client, r.lines.Buffered()) // a last line without its line end
 		r.stopReading()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -24,7 +24,7 @@
 		time.Sleep(shutdownPollInterval)
 	}
 	for _, c := range p.unfinished(passThrough) {
-		closeWithLine(c.client, "") // the client has had its final answer but does not close
+		closeDiscarding(c.client) // the client has had its final answer but does not close
 	}
 	if !passThrough {
 		p.clients.Wait()
--- a/internal/proxy/teardown.go
+++ b/internal/proxy/teardown.go
@@ -17,16 +17,15 @@
 //   - answer writes a line and sends FIN. Then it reads and drops what the client still sends until the client closes
 //     its side, up to lingerTimeout and maxLingerBytes.
 //   - lingerClose does the same without a line.
-//   - closeWithLine writes a line, sends FIN, reads what has been received and closes at once. It is for callers that
-//     must not wait for the client. Bytes that arrive later reach a closed socket.
+//   - closeWithLine writes a line, sends FIN, reads what has been received and closes at once, and closeDiscarding does
+//     the same without a line. They are for callers that must not wait for the client. Bytes that arrive later reach a
+//     closed socket.
 //   - reset gives no guarantee about data written before. It passes on a reset from the other side, closes a broken
 //     connection, or aborts an established one.
 
 const (
 	lingerTimeout  = 500 * time.Millisecond // limit of the wait until the client closes its side
 	maxLingerBytes = 64 << 10               // limit of the bytes that are read and dropped
-	// closeWriteTimeout bounds the write of closeWithLine.
-	closeWriteTimeout = 20 * time.Millisecond
 )
 
 // answer writes the client's final answer and waits for the client to close the connection.
@@ -35,10 +34,27 @@
 	c.lingerClose()
 }
 
-// writeAnswer writes a final answer to the client.
+// writeAnswer writes the client's final answer, unless the client has been given one, for example by an eviction.
 func (c *conn) writeAnswer(line string) {
-	_ = c.client.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	_, _ = netio.WriteAll(c.client, []byte(line))
+	c.mu.Lock()
+	unwritten := c.writeAnswerLocked(line)
+	c.mu.Unlock()
+	if len(unwritten) > 0 { // the send buffer is full
+		_ = c.client.SetWriteDeadline(time.Now().Add(lingerTimeout))
+		_, _ = netio.WriteAll(c.client, unwritten)
+	}
+}
+
+// writeAnswerLocked is writeAnswer for a caller that holds mu. It does not wait for the client, and returns what the send
+// buffer has no space for. That is usually nothing, because the buffer has no more than responses to health checks.
+func (c *conn) writeAnswerLocked(line string) (unwritten []byte) {
+	if c.answerWritten {
+		return nil
+	}
+	c.answerWritten = true
+	answer := []byte(line)
+	n, _ := netio.WriteAvailable(c.client, answer)
+	return answer[n:]
 }
 
 // lingerClose closes the node's side and waits, for at most lingerTimeout, until the client closes its own.
@@ -76,18 +92,20 @@
 	_ = c.client.SetReadDeadline(netio.Expired)
 }
 
-// closeWithLine writes a line, unless it is empty, and closes the connection without waiting for the client.
+// closeWithLine writes a line and closes the connection without waiting for the client.
 func closeWithLine(client *net.TCPConn, line string) {
-	writeAndDiscard(client, line)
+	_, _ = netio.WriteAvailable(client, []byte(line))
+	closeDiscarding(client)
+}
+
+// closeDiscarding closes the connection of a client that has had its final answer, without waiting for the client.
+func closeDiscarding(client *net.TCPConn) {
+	discardReceived(client)
 	_ = client.Close()
 }
 
-// writeAndDiscard writes a line, unless it is empty, sends FIN, and reads and drops what has been received.
-func writeAndDiscard(client *net.TCPConn, line string) {
-	_ = client.SetWriteDeadline(time.Now().Add(closeWriteTimeout))
-	if line != "" {
-		_, _ = netio.WriteAll(client, []byte(line))
-	}
+// discardReceived sends FIN, and reads and drops what has been received.
+func discardReceived(client *net.TCPConn) {
 	_ = client.CloseWrite()
 	buffer := wire.GetBuffer()
 	defer buffer.Release()
