A request whose goroutine is held up at the shutdown gets its final answer

What callers saw: nothing yet; shown by a test alone.

Cause: Proxy.Shutdown took what had not ended by then for clients that have their answer and stay, and read and dropped what they had sent. That also held for a resting connection whose goroutine had not taken its last look.

Change: who has no answer gets one: a rejection for half a line, a failure for an admitted request, as a host may have run it. A client that has sent nothing is closed without reading. Established connections are left to their goroutines: they are reset already, or another process has them. The closing of an eviction is shared as closeUnadmitted.

Measured: TestShutdown_RequestHeldUp_Answered: before, the client reads nothing; after, the failure.

--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -178,20 +178,25 @@
 	return first
 }
 
-// evict closes an unadmitted client. A client that has begun its opening line is rejected, because a close without an
-// answer would lose its request. A client that has sent nothing is closed without reading what it sends meanwhile. The
-// caller holds mu; the write does not block, because the send buffer is empty.
+// evict closes an unadmitted client to make room for a newer one. The caller holds mu.
 func (p *Proxy) evict(c *conn) {
+	rejected := p.closeUnadmitted(c)
+	p.log.Info("client evicted for a newer one", zap.Bool("rejected", rejected), zap.Bool("answered", c.answered))
+}
+
+// closeUnadmitted closes an unadmitted client, and reports whether it rejected the client. A client that has begun its
+// opening line is rejected, because a close without an answer would lose its request. A client that has sent nothing is
+// closed without reading what it sends meanwhile. The caller holds mu; nothing here waits for the client.
+func (p *Proxy) closeUnadmitted(c *conn) (rejected bool) {
 	end := openingEndedAnswered
 	if !c.answered {
-		end = c.evictOpening()
+		end = c.endOpening()
 	}
-	p.log.Info("client evicted for a newer one",
-		zap.Bool("rejected", !c.answered && end == openingEndedAnswered), zap.Bool("answered", c.answered))
 	p.release(c)
 	if end == openingEndedUnread {
 		_ = c.client.Close()
-		return
+		return false
 	}
 	closeDiscarding(c.client)
+	return !c.answered
 }
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	for range 1024 {
+	for range eventQueueLength {
 		r.node.PeerContacted()
 	}
 	var waiting []net.Conn
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -176,11 +176,11 @@
 	return n
 }
 
-// evictOpening ends the reading of the opening line for an eviction, and tells how. If any part of the line has been
+// endOpening ends the reading of the opening line from another goroutine, and tells how. If any part of the line has been
 // received, it rejects the client, unless that has a final answer already. It holds mu until the rejection is written,
 // because the client's goroutine closes the connection when it sees that the reading has ended. It does not close the
 // connection itself: a close waits for readUnlessEnded, which may wait for mu.
-func (c *conn) evictOpening() openingEnd {
+func (c *conn) endOpening() openingEnd {
 	buffer := wire.GetBuffer()
 	defer buffer.Release()
 	c.mu.Lock()
@@ -210,7 +210,7 @@
 }
 
 // readUnlessEnded waits until bytes arrive, and reads them. It holds mu while it reads bytes and records that they
-// were received, so that evictOpening either finds the bytes unread or sees the record.
+// were received, so that endOpening either finds the bytes unread or sees the record.
 func (c *conn) readUnlessEnded(raw syscall.RawConn, into []byte) (n int, err error) {
 	waitErr := raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"onyxstream/internal/wire"
 )
 
 // shutdownGrace is how long Shutdown waits for clients without an established connection to read their final answer and
@@ -24,13 +26,41 @@
 		time.Sleep(shutdownPollInterval)
 	}
 	for _, c := range p.unfinished(passThrough) {
-		closeDiscarding(c.client) // the client has had its final answer but does not close
+		p.closeUnfinished(c)
 	}
 	if !passThrough {
 		p.clients.Wait()
 	}
 }
 
+// closeUnfinished closes a connection that has not ended by itself. Usually the client has had its final answer and does
+// not close. A client that has none, because the connection's goroutine is held up, gets one: a failure, as a host may
+// have executed the request. An established connection is left to its goroutine: it is reset already, or another process
+// has it.
+func (p *Proxy) closeUnfinished(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.unadmitted != nil {
+		p.closeUnadmitted(c)
+		return
+	}
+	if c.failUnestablished() {
+		closeDiscarding(c.client)
+	}
+}
+
+// failUnestablished writes a failure to a client without a final answer. It reports false if the connection is
+// established. It does not wait for the client.
+func (c *conn) failUnestablished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host != nil {
+		return false
+	}
+	c.writeAnswerLocked(wire.Failure)
+	return true
+}
+
 // beginShutdown begins to close all connections and pings. The caller holds mu.
 func (p *Proxy) beginShutdown(passThrough bool) {
 	if !p.closed {
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,9 @@
 	"onyxstream/internal/wire"
 )
 
+// eventQueueLength is the number of events that fill the node's event queue.
+const eventQueueLength = 1024
+
 // shutDownMidRead begins a shutdown while text, if any, has been read from the client but not parsed.
 func shutDownMidRead(t *testing.T, r *testNode, c net.Conn, text string) {
 	t.Helper()
@@ -105,6 +109,25 @@
 	}
 }
 
+// A request whose goroutine is held up, here by the node's full event queue, gets its final answer before Shutdown closes
+// the connection.
+func TestShutdown_RequestHeldUp_Answered(t *testing.T) {
+	r := startNode(t, zap.NewNop(), false)
+	for range eventQueueLength {
+		r.node.PeerContacted()
+	}
+	_, in := r.open(t, "OPEN a key c=chat,d=500000")
+	netiotest.Eventually(t, "the request is pending", func() bool { return r.proxy.PendingRequests() == 1 })
+	r.proxy.Shutdown(true)
+	if all, err := io.ReadAll(in); string(all) != wire.Failure || err != nil {
+		t.Errorf("client read %q, error %v; want a failure", all, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = r.node.Run(ctx) }()
+	r.awaitNoClients(t)
+}
+
 func TestAccept_AfterShutdown_Rejected(t *testing.T) {
 	r := startNode(t, zap.NewNop(), true)
 	r.stop()
