Soak: an orderly end behind a request on a resting connection needs a reset

The soak test excused a missing answer where a client that had rested read EOF within 5 ms of its request, as one that crossed the node's FIN.

--- a/internal/soaktest/client.go
+++ b/internal/soaktest/client.go
@@ -34,9 +34,9 @@
 	closedCheckTime = time.Millisecond
 	// maxMidFlowReconnects limits how often a client resumes mid-flow at another node.
 	maxMidFlowReconnects = 3
-	// finCrossingTime is how long after sending a request a client may read a FIN that the node sent before the request
-	// arrived.
-	finCrossingTime = 5 * time.Millisecond
+	// crossingTime is how long after sending a request a client may read the end of a connection that the node ended
+	// before it read the request.
+	crossingTime = 5 * time.Millisecond
 )
 
 // session is a client with its successive connections. It is used by one goroutine.
@@ -156,7 +156,7 @@
 	case err == nil:
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return false // CheckRules reports the missing answer
-	case c.behavior == behaviorPing && errors.Is(err, io.EOF) && time.Since(sentAt) < finCrossingTime:
+	case c.behavior == behaviorPing && time.Since(sentAt) < crossingTime && isResetUnread(c.Conn, err):
 		c.record(fakeserver.EventDisconnected, "the node had ended it")
 		return false
 	default:
