A final answer is written under the connection's mutex without sleeping

The node's event loop takes the same mutex to cancel an attempt. WriteAvailable now retries at once, a few times, like ReadAvailable; what is left is written by the client's goroutine outside the mutex, and, where no goroutine is left to do it, by closeWithLine, evictions and the shutdown, which retried under the proxy's mutex before as well.

Measured: packages proxy and netio pass three times under the race detector; the crossing tests ten times.

--- a/internal/netio/available.go
+++ b/internal/netio/available.go
@@ -47,35 +47,33 @@
 }
 
 // WriteAvailable writes as much of data as the connection's send buffer has space for, and returns the number of bytes
-// written. It ignores the connection's deadlines and does not wait for the remote side. It retries while the system lacks
-// memory, for at most lowMemoryRetryWindow (1 s).
+// written. It ignores the connection's deadlines and never blocks.
 func WriteAvailable(c *net.TCPConn, data []byte) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
-	err = RetryLowMemory(func() error {
-		var written int
-		controlErr := raw.Control(func(fd uintptr) { written, err = writeAvailableFD(fd, data[n:]) })
-		n += written
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	})
+	controlErr := raw.Control(func(fd uintptr) { n, err = writeAvailableFD(fd, data) })
+	if controlErr != nil {
+		return 0, controlErr
+	}
 	return n, err
 }
 
+// writeAvailableFD is WriteAvailable for a descriptor, which must be in non-blocking mode.
 func writeAvailableFD(fd uintptr, data []byte) (n int, err error) {
-	for n < len(data) {
+	for retries := 0; n < len(data); {
 		written, err := unix.Write(int(fd), data[n:])
-		n += max(written, 0)
-		switch err {
-		case nil, unix.EINTR:
-		case unix.EAGAIN:
+		switch {
+		case err == unix.EINTR:
+		case syserr.LacksMemory(err) && retries < maxImmediateRetries:
+			retries++
+		case err == unix.EAGAIN:
 			return n, nil
-		default:
+		case err != nil:
 			return n, os.NewSyscallError("write", err)
+		default:
+			n += written
 		}
 	}
 	return n, nil
--- a/internal/netio/retry.go
+++ b/internal/netio/retry.go
@@ -12,7 +12,7 @@
 	lowMemoryBackoff = time.Millisecond
 	// lowMemoryRetryWindow bounds how long such a call is retried.
 	lowMemoryRetryWindow = time.Second
-	// maxImmediateRetries bounds the retries of a read that must not block.
+	// maxImmediateRetries bounds the retries of a read or write that must not block.
 	maxImmediateRetries = 8
 )
 
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -48,10 +48,10 @@
 	host          *net.TCPConn       // nil until a host establishes the connection; not modified after that
 
 	// What this node has decided about the end of the connection.
-	aborted        bool // this node has reset both sides
-	shuttingDown   bool // no attempt may establish the connection any more
-	openingEnd     openingEnd
-	readingStopped bool // the client must not be read any further for its host
+	aborted        bool       // this node has reset both sides
+	shuttingDown   bool       // no attempt may establish the connection any more
+	openingEnd     openingEnd // how this node has ended the reading of the opening line, before the line was complete
+	readingStopped bool       // the client must not be read any further for its host
 
 	// The hand-off to another process of the node.
 	quiescing      *quiescence // set while the connection is quiesced for a hand-off, otherwise nil
--- a/internal/proxy/opening.go
+++ b/internal/proxy/opening.go
@@ -191,7 +191,7 @@
 		return c.openingEnd
 	}
 	c.openingEnd = openingEndedAnswered
-	c.writeAnswerLocked(c.proxy.rejection())
+	writeWithoutWaiting(c.client, c.writeAnswerLocked(c.proxy.rejection()))
 	discardReceived(c.client)
 	return c.openingEnd
 }
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -57,7 +57,7 @@
 	if c.host != nil {
 		return false
 	}
-	c.writeAnswerLocked(wire.Failure)
+	writeWithoutWaiting(c.client, c.writeAnswerLocked(wire.Failure))
 	return true
 }
 
--- a/internal/proxy/teardown.go
+++ b/internal/proxy/teardown.go
@@ -39,14 +39,14 @@
 	c.mu.Lock()
 	unwritten := c.writeAnswerLocked(line)
 	c.mu.Unlock()
-	if len(unwritten) > 0 { // the send buffer is full
+	if len(unwritten) > 0 { // the send buffer is full, or the system lacks memory
 		_ = c.client.SetWriteDeadline(time.Now().Add(lingerTimeout))
 		_, _ = netio.WriteAll(c.client, unwritten)
 	}
 }
 
-// writeAnswerLocked is writeAnswer for a caller that holds mu. It does not wait for the client, and returns what the send
-// buffer has no space for. That is usually nothing, because the buffer has no more than responses to health checks.
+// writeAnswerLocked is writeAnswer for a caller that holds mu. It does not block, and returns what it could not write. That
+// is usually nothing, because the send buffer has no more than responses to health checks.
 func (c *conn) writeAnswerLocked(line string) (unwritten []byte) {
 	if c.answerWritten {
 		return nil
@@ -94,10 +94,19 @@
 
 // closeWithLine writes a line and closes the connection without waiting for the client.
 func closeWithLine(client *net.TCPConn, line string) {
-	_, _ = netio.WriteAvailable(client, []byte(line))
+	writeWithoutWaiting(client, []byte(line))
 	closeDiscarding(client)
 }
 
+// writeWithoutWaiting writes as much as the send buffer has space for. It retries while the system lacks memory.
+func writeWithoutWaiting(client *net.TCPConn, data []byte) {
+	_ = netio.RetryLowMemory(func() error {
+		n, err := netio.WriteAvailable(client, data)
+		data = data[n:]
+		return err
+	})
+}
+
 // closeDiscarding closes the connection of a client that has had its final answer, without waiting for the client.
 func closeDiscarding(client *net.TCPConn) {
 	discardReceived(client)
