The unread request at a shutdown is checked after a health check too

It now plays both, with the PONG asked for again. "A rejection or nothing" stays "a rejection": the order is forced, so that nothing else is right.

No product code is changed.

--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -66,11 +67,32 @@
 	}
 }
 
-// A request that is unread when the shutdown begins is rejected. The test holds the connection's mutex, under which bytes
-// are read, until the request has arrived and the shutdown is about to begin.
+// A request that is unread when the shutdown begins is rejected, on a new connection and on one that rests after a health
+// check.
 func TestShutdown_RequestUnread_Rejected(t *testing.T) {
-	r := startNode(t, zap.NewNop(), true)
-	client, accepted := r.dialIdle(t)
+	t.Run("new connection", func(t *testing.T) {
+		r := startNode(t, zap.NewNop(), true)
+		client, accepted := r.dialIdle(t)
+		expectUnreadRejected(t, r, client, bufio.NewReader(client), accepted)
+	})
+	t.Run("after a health check", func(t *testing.T) {
+		r := startNode(t, zap.NewNop(), true)
+		client, in := r.open(t, healthCheck)
+		if line, err := in.ReadString('\n'); line != wire.Pong || err != nil {
+			t.Fatalf("health check: read %q, error %v; want PONG", line, err)
+		}
+		accepted := r.onlyConn(t)
+		netiotest.Eventually(t, "the connection is idle", func() bool {
+			return accepted.idle.Load() && !accepted.openingStarted.Load()
+		})
+		expectUnreadRejected(t, r, client, in, accepted)
+	})
+}
+
+// expectUnreadRejected sends a request and begins a shutdown, and expects a rejection. It holds the connection's mutex,
+// under which bytes are read, until the request has arrived and the shutdown is about to begin.
+func expectUnreadRejected(t *testing.T, r *testNode, client net.Conn, in *bufio.Reader, accepted *conn) {
+	t.Helper()
 	accepted.mu.Lock()
 	begun := make(chan struct{})
 	go func() {
@@ -90,7 +112,8 @@
 	})
 	accepted.mu.Unlock()
 	<-begun
-	all, err := io.ReadAll(client)
+	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
+	all, err := io.ReadAll(in)
 	if err != nil || !strings.HasPrefix(string(all), rejectionPrefix) {
 		t.Errorf("client read %q, error %v; want a rejection", all, err)
 	}
