The recorded decisions compile on arm64 too

replay_test.go uses a constant of decisions_amd64_test.go, which amd64 alone compiles, so the tests of balancer did not compile on arm64. The file is renamed and its heading says where the values hold; no check and no recorded value changes. Measured on arm64 with -gcflags=all=-d=fmahash=qn: go vet passes and the replay tests of the package pass.

--- a/balancer/decisions_amd64_test.go
+++ b/balancer/decisions_test.go
@@ -1,7 +1,7 @@
 package balancer
 
-// The recorded decisions are valid on amd64 only: other processors may fuse floating-point operations, which changes
-// single bits of the results.
+// The recorded decisions hold where no multiplication is fused with an addition: on amd64 always, on arm64 in a build with
+// -gcflags=all=-d=fmahash=qn. A fused operation changes single bits of the results.
 
 import (
 	"testing"
