--- a/review/_cases2/drain_twice.go
+++ b/review/_cases2/drain_twice.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["7"] = drainTwice }
+func init() { cases["8"] = drainTwice }
 
 // drainTwice drains a node at which connections end, by the operators' call, and gives the same call again 2 s later.
 // 4 s after the call no client's connection may be held that was not moved.
--- a/review/_cases2/host.go
+++ b/review/_cases2/host.go
@@ -15,10 +15,11 @@
 	id       string
 	rec      *record
 	listener net.Listener
-	delay    time.Duration // time from the opening line to UP
 
 	mu       sync.Mutex
 	draining bool
+	setup    time.Duration   // from an opening line to its UP
+	hangsTo  time.Time       // until then the host reads and answers nothing
 	open     map[string]bool // ids of open connections
 	received []opening       // all opening lines, in order
 }
@@ -67,6 +68,37 @@
 	return late
 }
 
+// hang makes the host read and answer nothing for some time.
+func (h *host) hang(span time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hangsTo = time.Now().Add(span)
+	h.rec.add("host %s hangs for %s", h.id, span)
+}
+
+// awaitHangEnd waits while the host hangs.
+func (h *host) awaitHangEnd() {
+	h.mu.Lock()
+	until := h.hangsTo
+	h.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// setUpIn sets how long the host takes from an opening line to its UP.
+func (h *host) setUpIn(span time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.setup = span
+	h.rec.add("host %s takes %s to bring a connection up", h.id, span)
+}
+
+func (h *host) awaitSetup() {
+	h.mu.Lock()
+	span := h.setup
+	h.mu.Unlock()
+	time.Sleep(span)
+}
+
 func (h *host) serve(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
@@ -98,7 +130,8 @@
 		defer h.mu.Unlock()
 		delete(h.open, id)
 	}()
-	time.Sleep(h.delay)
+	h.awaitHangEnd()
+	h.awaitSetup()
 	h.rec.add("host %s gets OPEN %s, answers UP", h.id, id)
 	fmt.Fprintf(conn, "UP %s-%s\r\n", h.id, id)
 	for {
@@ -107,6 +140,7 @@
 			h.rec.add("host %s: connection %s ended: %v", h.id, id, err)
 			return
 		}
+		h.awaitHangEnd()
 		fmt.Fprintf(conn, "OK %s", line)
 	}
 }
--- a/review/_cases2/node.go
+++ b/review/_cases2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -19,6 +20,10 @@
 	listen    string
 	discovery string
 	known     memberList
+
+	aim         int // of the class, in milliseconds; 500 if it is 0
+	deadline    int // of the class, in milliseconds; 3000 if it is 0
+	connections int // the tenant's quota over all nodes; 0 for none
 }
 
 func (c nodeConfig) text() string {
@@ -26,12 +31,20 @@
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"5be2a07c9b1f03aa",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,
 "settings":{"index":0,"groupSize":3,"zone":0,"zones":["a"],"registryMode":"ask","kinds":["m"],"tick":4,
-"lanes":[{"name":"chat","aim":500,"deadline":3000,"semantics":"safe","group":"all","worth":3,"window":5000,"streaming":true}],
+"lanes":[{"name":"chat","aim":%d,"deadline":%d,"semantics":"safe","group":"all","worth":3,"window":5000,"streaming":true}],
 "customers":[{"name":"acme","share":1}],
-"domain":{"mode":%q,"groups":false,"messageAim":[250]},
+"domain":{"mode":%q,"groups":false,"messageAim":[250]%s},
 "limits":{"cancel":true,"connectTimeout":250,"maxAttempts":5,"maxRetryAfter":2000,"probes":false,"retryAfter":true,"secondCopies":false},
 "rules":{"answerSlack":16,"askWithin":10000,"coldShare":0.3,"fallMultiple":4,"overloadFor":1000,"stopSendingWithin":400,"warmWithin":8600}}}`,
-		c.listen, c.discovery, known, c.mode)
+		c.listen, c.discovery, known, cmp.Or(c.aim, 500), cmp.Or(c.deadline, 3000), c.mode, c.quota())
+}
+
+// quota returns the tenant's quota of connections as a field of the settings, or nothing if there is none.
+func (c nodeConfig) quota() string {
+	if c.connections == 0 {
+		return ""
+	}
+	return fmt.Sprintf(`,"tenantQuotaConnections":[%d]`, c.connections)
 }
 
 // write replaces the file of the configuration.
--- a/review/_cases2/upgrade_id.go
+++ b/review/_cases2/upgrade_id.go
@@ -3,11 +3,10 @@
 import (
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 )
 
-func init() { cases["6"] = upgradeWithForeignIDs }
+func init() { cases["7"] = upgradeWithForeignIDs }
 
 // upgradeWithForeignIDs upgrades the node while bad clients send the ids of other clients' open requests. No connection
 // of the other clients may be cut off without MOVE, as their hosts answer all the time.
@@ -49,15 +48,9 @@
 		}
 	}
 	time.Sleep(time.Second)
-	if _, err := s.startNode("new"); err != nil {
+	if _, err := s.upgrade(old, "new"); err != nil {
 		return nil, err
 	}
-	old.signal(syscall.SIGTERM, s.rec)
-	select {
-	case <-old.exited:
-	case <-time.After(3700 * time.Millisecond): // the longest deadline and 0.7 s
-		old.signal(syscall.SIGKILL, s.rec)
-	}
 	time.Sleep(3 * time.Second)
 	for _, c := range clients {
 		moved, ended, _ := c.state()
--- a/review/_cases2/upgrade_outage.go
+++ b/review/_cases2/upgrade_outage.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["8"] = upgradeDuringOutage }
+func init() { cases["9"] = upgradeDuringOutage }
 
 const (
 	drainGrace = 400 * time.Millisecond // stopSendingWithin of the settings
