An overdue list request keeps its place in discovery's queue while it is repeated

At 3 s the call was closed, with its place in the queue, and the next one began at the end. In the code a newer request for the same list closed the one in flight too (poll intervals under 3 s).

Change: a call that was sent is overdue at the old timeout, not failed. The node is notified and repeats it after the same pause as before, and the earlier ones stay open: at most three, the oldest for 30 s and then twice as long each time it is given up. The first list wins. The timeouts are as they were; a longer one only moves the cliff. A list that arrives after its request was reported also ends the cold start's and the push mode's plan for the next one.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -128,8 +128,8 @@
 	return time.Duration(s.rng.Float64() * float64(interval))
 }
 
-// ListRequestFailed records that a list request failed, or that its watch broke. retryAfter is the Retry-After of
-// discovery, or 0 if it sent none; it is honoured up to the longest backoff.
+// ListRequestFailed records that a list request failed or is overdue, or that its watch broke. retryAfter is the
+// Retry-After of discovery, or 0 if it sent none; it is honoured up to the longest backoff.
 func (s *Scheduler) ListRequestFailed(now time.Duration, retryAfter time.Duration) {
 	longest := maxBackoffPolls * s.cfg.PollInterval
 	s.requestInFlight = false
@@ -145,12 +145,15 @@
 	s.plan(max(s.notBefore, now+s.backoff/2), s.spreadInterval(now))
 }
 
-// ListReceived records that discovery has sent a list or confirmed the held one.
+// ListReceived records that discovery has sent a list or confirmed the held one. The list request counts as in flight
+// even if ListRequestFailed has been called for it, because it was only overdue.
 func (s *Scheduler) ListReceived(now time.Duration, revision int64, hosts int) {
 	s.hasList = s.hasList || hosts > 0
 	s.source = SourceDiscovery
 	s.revision = revision
 	s.lastConfirmedAt = now
+	s.requestInFlight = true
+	s.requestPlanned = false
 	s.listReceived = true
 	s.requestRequired = false
 	s.backoff = 0
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// A list request that was reported as failed because it was overdue may still be answered. Its watch then keeps the
+// node current, so no further list request may be due.
+func TestListReceived_RequestOverdue_NoFurtherRequest(t *testing.T) {
+	s := New(Config{NodeCount: 3, PollInterval: pollInterval}, rand.New(rand.NewPCG(1, 2)), 0, NoSource, Offer{})
+	now := time.Duration(0)
+	for !s.ListRequestDue(now) {
+		now += 10 * ms
+	}
+	s.ListRequestFailed(now, 0)
+	s.ListReceived(now, 4, 3)
+	for end := now + 10*maxBackoffPolls*pollInterval; now < end; now += 10 * ms {
+		if s.ListRequestDue(now) {
+			t.Fatal("a list request is due although the watch of the last one is active")
+		}
+	}
+	if !s.Heartbeat(now) {
+		t.Error("a heartbeat of the watch does not confirm the list")
+	}
+}
+
 // Whatever the order, age and discovery name of the offered lists: the held revision never decreases, its age is never
 // understated, and no offer replaces a list that a watch keeps current.
 func TestPeerList_AnyOffers_RevisionNeverDecreases(t *testing.T) {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,7 +19,7 @@
 	log           *zap.Logger
 	node          *node.Node
 	requests      chan node.ListRequest
-	slowDiscovery atomic.Bool // the last snapshot timed out: the next one gets a longer timeout
+	slowDiscovery atomic.Bool // the last snapshot was overdue: the next one gets a longer timeout
 }
 
 // NewWatcher returns a watcher. Attach must be called before Run.
@@ -48,35 +49,15 @@
 	}
 }
 
-// activeRequest is a list request in flight, with the watch that follows it.
-type activeRequest struct {
-	node.ListRequest
-	cancel    context.CancelFunc
-	ended     chan struct{}  // closed when the goroutine of the request has ended
-	delivered atomic.Bool    // the node has received a list from this request
-	previous  *activeRequest // stays active until delivered is set, so that no watch event is missed in between
-}
-
-// stop cancels a request and waits for its end, so that its events cannot arrive after those of the next request. It
-// does nothing if the request is nil.
-func (r *activeRequest) stop() {
-	if r != nil {
-		r.cancel()
-		<-r.ended
-	}
-}
-
 // Run sends the queued list requests until ctx ends. When a new request has delivered its first list, the previous
-// request is stopped. Run notifies the node when a request ends, unless a newer request or the end of ctx stopped it.
+// request is stopped. Run notifies the node when a request is overdue or ends, unless a newer request or the end of ctx
+// stopped it.
 func (w *Watcher) Run(ctx context.Context) error {
-	var current *activeRequest
+	var current *listRequest
 	for {
 		select {
 		case <-ctx.Done():
-			if current != nil {
-				current.stop()
-				current.previous.stop()
-			}
+			current.stop()
 			return nil
 		case request := <-w.requests:
 			current = w.supersede(ctx, current, request)
@@ -84,74 +65,106 @@
 	}
 }
 
-// supersede starts a request. If the current request has delivered a list, it continues in parallel. Otherwise it is
-// stopped, and the request before the current one continues.
-func (w *Watcher) supersede(ctx context.Context, current *activeRequest, request node.ListRequest) *activeRequest {
+// supersede starts a request. If the current request has delivered a list, it continues in parallel. If the current
+// request asks for the same, it is repeated by a further attempt, and the attempts in flight keep their places in the
+// queue of discovery. Otherwise the current request is stopped, and the request before it continues.
+func (w *Watcher) supersede(ctx context.Context, current *listRequest, requested node.ListRequest) *listRequest {
 	previous := current
-	if current != nil && !current.delivered.Load() {
-		current.stop()
-		if !current.delivered.Load() {
+	if current != nil {
+		if current.repeats(requested) && current.repeat(requested.Sequence) {
+			w.startAttempt(ctx, current)
+			return current
+		}
+		if !current.hasDelivered() {
+			current.stopAttempts()
+		}
+		if !current.hasDelivered() {
 			previous = current.previous
 		}
 	}
-	w.log.Debug("list request started", zap.Int64("after_revision", request.AfterRevision))
-	next := &activeRequest{
-		ListRequest: request,
-		ended:       make(chan struct{}),
-		previous:    previous,
-	}
-	requestCtx, cancel := context.WithCancel(ctx)
-	next.cancel = cancel
-	go w.run(requestCtx, next)
+	next := &listRequest{ListRequest: requested, previous: previous, maxWait: minOldestWait}
+	w.startAttempt(ctx, next)
 	return next
 }
 
-// run is the goroutine of a request.
-func (w *Watcher) run(ctx context.Context, request *activeRequest) {
-	defer close(request.ended)
-	err := w.follow(ctx, request)
+// startAttempt starts an attempt of a request, unless the latest one is not overdue yet.
+func (w *Watcher) startAttempt(ctx context.Context, request *listRequest) {
+	started, attemptCtx := request.addAttempt(ctx, time.Now())
+	if started == nil {
+		return
+	}
+	w.log.Debug("list request started", zap.Int64("after_revision", request.AfterRevision),
+		zap.Int("in_flight", request.inFlight()))
+	go w.run(attemptCtx, started)
+}
+
+// run is the goroutine of an attempt.
+func (w *Watcher) run(ctx context.Context, current *attempt) {
+	defer close(current.ended)
+	err := w.follow(ctx, current)
 	if ctx.Err() != nil {
 		return
 	}
-	w.log.Info("endpoint list watch ended", zap.String("discovery", request.Addr), zap.Error(err))
+	sequence, report := current.request.endAttempt(current)
+	w.log.Info("endpoint list watch ended", zap.String("discovery", current.request.Addr), zap.Bool("reported", report),
+		zap.Error(err))
+	if !report {
+		return
+	}
 	var rejected *wire.StatusError
 	if errors.As(err, &rejected) {
-		w.node.WatchFailed(request.Sequence, rejected.RetryAfter)
+		w.node.WatchFailed(sequence, rejected.RetryAfter)
+		return
+	}
+	w.node.WatchFailed(sequence, 0)
+}
+
+// reportOverdue notifies the node that discovery has not responded in time, so that the node repeats the request.
+func (w *Watcher) reportOverdue(current *attempt) {
+	sequence, report := current.request.markOverdue(current)
+	if !report {
 		return
 	}
-	w.node.WatchFailed(request.Sequence, 0)
+	w.log.Info("list request overdue", zap.String("discovery", current.request.Addr),
+		zap.Duration("age", time.Since(current.startedAt)))
+	w.node.WatchFailed(sequence, 0)
 }
 
 // follow fetches a snapshot if the request asks for one, and watches the changes after its revision.
-func (w *Watcher) follow(ctx context.Context, request *activeRequest) (err error) {
+func (w *Watcher) follow(ctx context.Context, current *attempt) (err error) {
 	defer func() {
 		if panicked := recover(); panicked != nil {
 			w.log.Error("endpoint list watch panicked", zap.Any("panic", panicked))
 			err = errors.New("endpoint list watch panicked")
 		}
 	}()
-	after := request.AfterRevision
+	after := current.request.AfterRevision
 	if after == node.NoRevision {
-		list, err := w.fetchSnapshot(ctx, request.Addr)
+		list, err := w.fetchSnapshot(ctx, current)
 		if err != nil {
 			return err
 		}
 		after = list.Revision
-		w.deliver(request, &list)
+		if err := w.deliver(current, &list); err != nil {
+			return err
+		}
 	}
-	return w.watch(ctx, request, after)
+	return w.watch(ctx, current, after)
 }
 
-// deliver notifies the node of a list. The first list of a request stops the previous request.
-func (w *Watcher) deliver(request *activeRequest, list *wire.EndpointList) {
-	if !request.delivered.Load() {
-		request.previous.stop()
-		request.previous = nil
-		request.delivered.Store(true)
+// deliver notifies the node of a list. The first list of a request stops the other attempts and the previous request.
+// It returns errSuperseded if another attempt has delivered a list.
+func (w *Watcher) deliver(current *attempt, list *wire.EndpointList) error {
+	request := current.request
+	sequence, ok := request.choose(current)
+	if !ok {
+		return errSuperseded
 	}
 	w.log.Debug("endpoint list received",
 		zap.Int64("revision", list.Revision),
 		zap.Int("endpoints", len(list.Endpoints)),
-		zap.Bool("complete", list.Complete))
-	w.node.ListReceived(request.Sequence, list)
+		zap.Bool("complete", list.Complete),
+		zap.Duration("age", time.Since(current.startedAt)))
+	w.node.ListReceived(sequence, list)
+	return nil
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -70,6 +70,7 @@
 	n.applyList(e.list, kind, e.sequence != n.watchSequence)
 	if e.sequence == n.watchSequence { // compared again, because applyList may have sent another list request
 		n.revision = e.list.Revision
+		n.watching = true // even if the list request was overdue
 		n.recordListReceived()
 	}
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -117,6 +119,31 @@
 	}
 }
 
+// A list request that was reported as overdue may still be answered. The node must then follow its watch instead of
+// sending further list requests.
+func TestWatch_ListAfterOverdue_NotRepeated(t *testing.T) {
+	for _, polled := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			set := testSettings()
+			set.PollList = polled
+			transport := &concurrentTransport{}
+			n := New(set, *snapshotOf(7, endpoint("s1", wire.Serving)), "d:1", transport, zap.NewNop())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = n.Run(ctx) }()
+			time.Sleep(7 * time.Second)
+			request, before := transport.last()
+			n.WatchFailed(request.Sequence, 0)
+			n.ListReceived(request.Sequence, changesOf(8, endpoint("s2", wire.Serving)))
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			if _, after := transport.last(); after != before {
+				t.Errorf("polled %v: %d list requests after the list, want none", polled, after-before)
+			}
+		})
+	}
+}
+
 // A watch may fail just before or just after the address of discovery changes. In both cases the node must send one
 // list request to the new address, for a snapshot.
 func TestDiscoveryAddr_ChangedAsWatchFails_RequestsOnce(t *testing.T) {
--- a/internal/wire/watchstream.go
+++ b/internal/wire/watchstream.go
@@ -250,6 +250,9 @@
 	return body
 }
 
+// Buffered returns how many bytes of the body were received and not yet returned.
+func (s *WatchStream) Buffered() int { return len(s.body) }
+
 // Ended reports whether the response is complete.
 func (s *WatchStream) Ended() bool { return s.state == stateEnded }
 
