Hundreds of clients with many short fields stay within the memory of a small node

Causes, told apart by runs with 192 MB, with clients that stay and clients that come and go: a map for each parsed line (58 KB of garbage), two buffers of 8 KiB for each idle connection, a Go memory limit of three quarters that forgets 14.5 MB of program pages, and admission by descriptors alone.

Change: a pooled set of positions finds repeated names; netio.Reader holds a buffer only while bytes are there; HeapLimit leaves out the program's pages and divides the rest; DescriptorLimit uses 455 of 1,024 descriptors with 32 MB, all of them from 37 MB on.

TestParseOpening_ManyFields_LittleMemory fails before. Tried first: the buffers and the set alone left 34 MB in one process and 40 MB in a hot restart.

--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -79,7 +79,7 @@
 	log := newLogger(cfg.Name)
 	defer func() { _ = log.Sync() }()
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
-	debug.SetMemoryLimit(nodeconfig.HeapLimit(cfg.MemoryMB))
+	debug.SetMemoryLimit(nodeconfig.HeapLimit(cfg.MemoryMB, 1))
 
 	p := newProcess(stop, cfg, options, log)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,7 +98,7 @@
 func newProcess(
 	stop context.Context, cfg nodeconfig.Config, options nodeconfig.Options, log *zap.Logger,
 ) *process {
-	maxControlConnections := control.MaxConns(cfg.Sockets)
+	maxControlConnections := control.MaxConns(cfg.DescriptorLimit())
 	p := &process{
 		cfg:                   cfg,
 		options:               options,
@@ -136,7 +136,7 @@
 		defaultTimeout = max(defaultTimeout, class.Deadline)
 	}
 	return proxy.New(proxy.Config{
-		MaxDescriptors:      cfg.Sockets,
+		MaxDescriptors:      cfg.DescriptorLimit(),
 		ConnectTimeout:      cfg.Settings.ConnectTimeout,
 		AnswerSlack:         cfg.Settings.AnswerSlack,
 		DefaultTimeout:      defaultTimeout,
@@ -150,7 +150,7 @@
 	cfg := multiprocess.Config{
 		Node:     p.cfg.Name,
 		Folder:   sharedFolder(p.cfg, p.log),
-		Sockets:  p.cfg.Sockets,
+		Sockets:  p.cfg.DescriptorLimit(),
 		MemoryMB: p.cfg.MemoryMB,
 	}
 	return multiprocess.NewCoordinator(cfg, p.node, p.proxy, p.log)
--- a/internal/multiprocess/coordinator.go
+++ b/internal/multiprocess/coordinator.go
@@ -163,19 +163,22 @@
 	}
 }
 
+// maxSharers is the largest number of processes among which the memory limit is divided. An upgrade has two; marks of
+// killed processes may be counted for a moment.
+const maxSharers = 2
+
 // divideLimits lowers this process's limits while other processes run, and restores them afterwards.
 func (c *Coordinator) divideLimits(others []sharedstate.ProcessStatus) {
-	sockets, memoryMB := c.cfg.Sockets, c.cfg.MemoryMB
+	sockets := c.cfg.Sockets
 	for _, other := range others {
 		sockets -= other.Descriptors
-		memoryMB = c.cfg.MemoryMB / 2
 	}
 	soleProcess := len(others) == 0
 	if soleProcess && c.soleProcess.Load() {
 		return
 	}
 	c.proxy.SetDescriptorLimit(sockets)
-	debug.SetMemoryLimit(nodeconfig.HeapLimit(memoryMB))
+	debug.SetMemoryLimit(nodeconfig.HeapLimit(c.cfg.MemoryMB, min(len(others)+1, maxSharers)))
 	if c.soleProcess.Swap(soleProcess) != soleProcess {
 		c.log.Info("number of processes of this node changed", zap.Int("others", len(others)))
 	}
--- a/internal/nodeconfig/config.go
+++ b/internal/nodeconfig/config.go
@@ -99,9 +99,6 @@
 	return names
 }
 
-// HeapLimit returns the part of a memory limit that the heap may use, in bytes. The rest is for stacks and sockets.
-func HeapLimit(memoryMB int) int64 { return int64(memoryMB) << 20 / 4 * 3 }
-
 // Check returns the error that a node would return for the content of a configuration file. The name and the addresses
 // may be missing, because a node can take them from its environment.
 func Check(text []byte) error {
--- a/internal/nodeconfig/config_test.go
+++ b/internal/nodeconfig/config_test.go
@@ -108,3 +108,32 @@
 		}
 	}
 }
+
+// A node whose memory does not hold the connections of all descriptors uses fewer of them.
+func TestDescriptorLimit_SmallMemory_Reduced(t *testing.T) {
+	for _, c := range []struct{ memoryMB, sockets, want int }{
+		{16, 256, minSockets},
+		{32, 256, 256},
+		{32, 1024, 455},
+		{64, 1024, 1024},
+		{192, 1024, 1024},
+		{256, 20000, 20000},
+	} {
+		cfg := Config{MemoryMB: c.memoryMB, Sockets: c.sockets}
+		if got := cfg.DescriptorLimit(); got != c.want {
+			t.Errorf("%d MB, %d sockets: %d descriptors, want %d", c.memoryMB, c.sockets, got, c.want)
+		}
+	}
+}
+
+// The heap limits of all processes and the pages of the program must fit in the memory limit, unless that is very small.
+func TestHeapLimit_AllProcesses_FitInMemory(t *testing.T) {
+	for _, memoryMB := range []int{32, 64, 192, 2048} {
+		for _, processes := range []int{1, 2} {
+			heap := HeapLimit(memoryMB, processes) * int64(processes)
+			if limit := int64(memoryMB-programMB) << 20; heap > limit {
+				t.Errorf("%d MB, %d processes: heaps of %d bytes, want at most %d", memoryMB, processes, heap, limit)
+			}
+		}
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -149,6 +149,10 @@
 
 // awaitResponse reads the host's response, and returns the response line if it establishes the connection.
 func awaitResponse(host *net.TCPConn, in *wire.LineBuffer) (line []byte, stage Stage, err error) {
+	reader, err := netio.NewReader(host, in)
+	if err != nil {
+		return nil, Awaiting, err
+	}
 	for {
 		line, ok, err := in.Next()
 		if err != nil {
@@ -161,8 +165,7 @@
 			established := append([]byte(nil), line...)
 			return append(established, '\r', '\n'), Answering, nil
 		}
-		n, err := netio.Read(host, in.Space())
-		in.Advance(n)
+		n, err := reader.Read()
 		if n == 0 && err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -42,6 +42,11 @@
 // to the host after that. Messages that a mid-flow client sends early are held back, and forwardClient continues to
 // read while the buffer has space.
 func (c *conn) forwardClient(in *wire.LineBuffer) {
+	reader, err := netio.NewReader(c.client, in)
+	if err != nil {
+		c.clientEnded(err)
+		return
+	}
 	for {
 		var readOn bool
 		select {
@@ -50,7 +55,7 @@
 		default:
 			readOn = c.holdBack(in)
 		}
-		if !readOn || !c.readClient(in) {
+		if !readOn || !c.readClient(reader) {
 			return
 		}
 	}
@@ -87,9 +92,8 @@
 }
 
 // readClient reads more bytes from the client. It reports false if the client must not be read further.
-func (c *conn) readClient(in *wire.LineBuffer) bool {
-	n, err := netio.Read(c.client, in.Space())
-	in.Advance(n)
+func (c *conn) readClient(reader *netio.Reader) bool {
+	n, err := reader.Read()
 	if n > 0 || err == nil {
 		return true
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -18,7 +18,8 @@
 	*conn
 	host    *net.TCPConn
 	lines   wire.Relay
-	attempt int // number of the attempt that established the connection
+	reader  *netio.Reader // reads from host into lines
+	attempt int           // number of the attempt that established the connection
 	start   time.Time
 	// clientBlocked is true if the last write to the client failed.
 	clientBlocked bool
@@ -38,7 +39,8 @@
 	}
 	defer r.lines.Release()
 	var err error
-	if len(establishedLine) > 0 {
+	r.reader, err = netio.NewReader(host, &r.lines.LineBuffer)
+	if err == nil && len(establishedLine) > 0 {
 		err = r.writeClient(establishedLine)
 	}
 	for err == nil {
@@ -87,8 +89,7 @@
 
 // readHost reads more bytes from the host.
 func (r *relay) readHost() error {
-	n, err := netio.Read(r.host, r.lines.Space())
-	r.lines.Advance(n)
+	n, err := r.reader.Read()
 	if n > 0 {
 		return nil
 	}
--- a/internal/wire/linebuffer.go
+++ b/internal/wire/linebuffer.go
@@ -79,6 +79,14 @@
 	return in.buf[in.read:in.written]
 }
 
+// ReleaseIfIdle returns the buffer to the pool if it holds no unread bytes. Lines that Next has returned are no longer
+// valid then.
+func (in *LineBuffer) ReleaseIfIdle() {
+	if in.read == in.written {
+		in.Release()
+	}
+}
+
 // Release returns the buffer to the pool.
 func (in *LineBuffer) Release() {
 	if in.buf != nil {
--- a/internal/wire/opening.go
+++ b/internal/wire/opening.go
@@ -53,6 +53,9 @@
 // ParseOpening parses the opening line of a client, without retaining the slice. A line that a host could not use is an
 // error here, because a host that rejected it would count as an outlier.
 func ParseOpening(line []byte) (OpeningKind, Opening, error) {
+	if len(line) > MaxLine+1 {
+		return 0, Opening{}, ErrTooLong
+	}
 	if !isPlainText(line) {
 		return 0, Opening{}, errors.New("invalid text: control characters or invalid UTF-8")
 	}
@@ -97,13 +100,13 @@
 // parseFields parses the fields at the end of the line. It ignores unknown fields, which are meant for the host.
 func (o *Opening) parseFields(fields string) error {
 	start := len(o.line) - len(fields)
-	seen := map[string]bool{}
+	names := getNameSet()
+	defer names.release()
 	for field := range strings.SplitSeq(fields, ",") {
 		name, value, _ := strings.Cut(field, "=")
-		if seen[name] {
+		if !names.add(o.line, start, len(name)) {
 			return fmt.Errorf("duplicate field %q", name)
 		}
-		seen[name] = true
 		if err := o.setField(name, value); err != nil {
 			return fmt.Errorf("field %q: invalid value %q: %w", name, value, err)
 		}
--- a/internal/wire/opening_test.go
+++ b/internal/wire/opening_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +96,42 @@
 		}
 	}
 }
+
+// openingWithFields returns a line of the longest length, with as many fields of distinct names as fit.
+func openingWithFields() string {
+	var line strings.Builder
+	line.WriteString("OPEN id key c=chat")
+	for i := 0; line.Len() < MaxLine-8; i++ {
+		fmt.Fprintf(&line, ",z%x", i)
+	}
+	return line.String()
+}
+
+// Parsing a line with very many short fields must not take a multiple of the line's memory: hundreds of clients may
+// send such lines at once.
+func TestParseOpening_ManyFields_LittleMemory(t *testing.T) {
+	line := []byte(openingWithFields())
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			if _, _, err := ParseOpening(line); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	if got := result.AllocedBytesPerOp(); got > 4*int64(len(line)) {
+		t.Errorf("%d bytes allocated for a line of %d, want at most four times its length", got, len(line))
+	}
+}
+
+// A repeated name must be found wherever it is, also among very many others.
+func TestParseOpening_ManyFields_DuplicateFound(t *testing.T) {
+	line := openingWithFields()
+	if _, _, err := ParseOpening([]byte(line)); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"c", "z0", "z1f"} {
+		if _, _, err := ParseOpening([]byte(line + "," + name)); err == nil {
+			t.Errorf("no error for a second field %q", name)
+		}
+	}
+}
