Control listener: limits for all bodies together and for the parts of a request

Heads just under 20 KiB with some 3,600 fields: 69 MB; half of a body of 500 KB: 37 MB; a body of 500 KB with 128,000 short strings: 102 MB.

Cause: the limits were bytes of one request. None counted all requests at once, and none the parts, of which each takes many times its bytes when it is decoded.

Change: MaxHeaderBytes 16 KiB -> 1 KiB, shared with the agent's listener; BodyBudget reserves a body's length until its request is answered (1 MiB, agent 8 MiB), 503 beyond it; unreachable hosts are counted before they are decoded.

Not run: answers with large lists, which are encoded for each waiting peer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,14 +28,15 @@
 // goroutines of their own, at most one status request and one command for each instance, so that a slow instance does
 // not delay others.
 type Agent struct {
-	cfg   Config
-	log   *zap.Logger
-	store *Store
-	keys  *pki.KeyStore // nil without TLS
-	start time.Time
-	tasks chan func()   // functions to run in the loop
-	done  chan struct{} // closed when the loop ends
-	wg    sync.WaitGroup
+	cfg    Config
+	log    *zap.Logger
+	store  *Store
+	keys   *pki.KeyStore // nil without TLS
+	start  time.Time
+	bodies *control.BodyBudget
+	tasks  chan func()   // functions to run in the loop
+	done   chan struct{} // closed when the loop ends
+	wg     sync.WaitGroup
 
 	// The fields below belong to the loop.
 	fleet          *fleet.Fleet
@@ -54,6 +55,7 @@
 		cfg:      cfg,
 		log:      log,
 		start:    time.Now(),
+		bodies:   control.NewBodyBudget(maxPendingBodyBytes),
 		tasks:    make(chan func(), maxQueuedTasks),
 		done:     make(chan struct{}),
 		fleet:    fleet.New(fleet.DefaultConfig(), rand.Uint64()),
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -17,9 +17,10 @@
 // The limits of HTTP exchanges with the command line.
 const (
 	maxRequestBytes = 2 << 20 // enough for a request with 10,000 targets
-	maxHeaderBytes  = 16 << 10
-	headerTimeout   = 3 * time.Second
-	bodyTimeout     = 10 * time.Second
+	// maxPendingBodyBytes limits the bodies of all requests that are being read or processed.
+	maxPendingBodyBytes = 4 * maxRequestBytes
+	headerTimeout       = 3 * time.Second
+	bodyTimeout         = 10 * time.Second
 )
 
 // watchPollInterval is the longest delay until a watcher sees a change that is not saved, for example a new status.
@@ -34,7 +35,7 @@
 		Handler:           a.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    control.MaxHeaderBytes,
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	control.StartHTTP(ctx, group, server, listener.Listener, a.log)
@@ -69,6 +70,12 @@
 }
 
 func (a *Agent) handleSubmit(w http.ResponseWriter, request *http.Request) {
+	release, err := a.bodies.Reserve(request, maxRequestBytes)
+	if err != nil {
+		control.WriteError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	defer release()
 	var submitted fleet.Request
 	if err := control.ReadJSON(http.MaxBytesReader(w, request.Body, maxRequestBytes), &submitted); err != nil {
 		control.WriteError(w, http.StatusBadRequest, err)
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -90,6 +92,12 @@
 		return
 	}
 	defer s.peerListSlots.release()
+	release, err := s.bodies.Reserve(request, maxPeerListRequestBytes)
+	if err != nil {
+		WriteError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	defer release()
 	start := time.Now()
 	query, err := parsePeerListQuery(w, request)
 	if err != nil {
@@ -179,9 +187,8 @@
 		knownUnreachable:  map[string]bool{},
 	}
 	if query.notifyUnreachable {
-		var known knownUnreachable
-		body := http.MaxBytesReader(w, request.Body, maxPeerListRequestBytes)
-		if err := ReadJSON(body, &known); err != nil {
+		known, err := readKnownUnreachable(http.MaxBytesReader(w, request.Body, maxPeerListRequestBytes))
+		if err != nil {
 			return query, fmt.Errorf("dead: %w", err)
 		}
 		for _, id := range known.IDs {
@@ -201,6 +208,21 @@
 	return query, err
 }
 
+// readKnownUnreachable decodes the body of a POST. It counts the strings before it decodes them, because many short
+// strings take a multiple of the body's length.
+func readKnownUnreachable(body io.Reader) (known knownUnreachable, err error) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return known, err
+	}
+	const fieldNames = 1
+	if bytes.Count(text, []byte{'"'}) > 2*(maxUnreachable+fieldNames) {
+		return known, fmt.Errorf("more than %d unreachable hosts", maxUnreachable)
+	}
+	err = ReadJSON(bytes.NewReader(text), &known)
+	return known, err
+}
+
 func parseMilliseconds(values url.Values, name string, limit time.Duration) (time.Duration, error) {
 	text := values.Get(name)
 	ms, err := strconv.ParseInt(text, 10, 64)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,10 +34,12 @@
 // The limits of one HTTP exchange.
 const (
 	maxCommandBytes = 64 << 10
-	maxHeaderBytes  = 16 << 10
-	headerTimeout   = 3 * time.Second
-	bodyTimeout     = 5 * time.Second
-	idleTimeout     = 2 * time.Minute
+	// MaxHeaderBytes is http.Server.MaxHeaderBytes of all control listeners, which adds 4 KiB. A parsed header takes a
+	// multiple of its length if its fields are short, and one is in memory for each connection.
+	MaxHeaderBytes = 1 << 10
+	headerTimeout  = 3 * time.Second
+	bodyTimeout    = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
 )
 
 // Status streams may use one in watchDivisor of a listener's connections, waiting peer list requests one in
@@ -57,6 +59,7 @@
 	register      *Register
 	watchSlots    semaphore
 	peerListSlots semaphore
+	bodies        *BodyBudget
 }
 
 // NewServer returns a server for one incarnation of an instance. Each of its listeners is limited to conns connections.
@@ -68,6 +71,7 @@
 		register:      NewRegister(incarnation),
 		watchSlots:    make(semaphore, conns/watchDivisor),
 		peerListSlots: make(semaphore, conns/peerListDivisor),
+		bodies:        NewBodyBudget(maxPendingBodyBytes),
 	}
 }
 
@@ -95,7 +99,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       bodyTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    MaxHeaderBytes,
 			ErrorLog:          zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 			BaseContext:       func(net.Listener) context.Context { return ctx },
 		}
@@ -148,6 +152,12 @@
 }
 
 func (s *Server) handleCommand(w http.ResponseWriter, request *http.Request) {
+	release, err := s.bodies.Reserve(request, maxCommandBytes)
+	if err != nil {
+		WriteError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	defer release()
 	var command Command
 	if err := ReadJSON(http.MaxBytesReader(w, request.Body, maxCommandBytes), &command); err != nil {
 		WriteError(w, http.StatusBadRequest, err)
