A client that has closed its connection behind much unread is not forwarded

The attempt begins 0.25 s after the client has left, 0.1 s are allowed.

Cause: checkClient looks for an end by one read, and the end is behind the unread bytes; the look at the socket came 20 ms after the first attempt. The boundary is at the buffer's 8 KiB, always, and never without mid=1, which rules out late goroutines.

Change: conn.hasLeft asks the socket before the first attempt and before each first byte, and takes more than 32 KiB unread for the violation that it is. The question for the end alone left one case (200,000 bytes: the FIN has not arrived).

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -106,7 +106,7 @@
 	}
 	if !c.checkClient(&in) {
 		c.countAnswer(errored)
-		if c.halfClosed.Load() { // the client may still read
+		if c.halfClosed.Load() || c.hasViolatedProtocol() { // the client may still read
 			c.answer(wire.Failure)
 		}
 		return
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -32,12 +32,22 @@
 	n, err := netio.ReadAvailable(c.client, in.Space())
 	in.Advance(n)
 	if err == nil || syserr.LacksMemory(err) { // lack of memory says nothing about the client
-		return true
+		return !c.hasLeft()
 	}
 	c.clientEnded(err)
 	return false
 }
 
+// hasLeft reports whether the client has ended its side before the connection was established, also if more bytes
+// precede the end than were read so far. A client that has sent more than maxUnreadBytes counts as one that has left,
+// because its end may be behind bytes that this machine has not accepted yet. hasLeft records the end or the violation.
+func (c *conn) hasLeft() bool {
+	if err := sendingEnded(c.client); err != nil {
+		return c.disconnectUnestablished(err)
+	}
+	return unreadBytes(c.client) > maxUnreadBytes && c.disconnectOnViolation()
+}
+
 // forwardClient reads the client: to detect a disconnect before the connection is established, and to forward messages
 // to the host after that. Messages that a mid-flow client sends early are held back, and forwardClient continues to
 // read while the buffer has space.
@@ -117,10 +127,7 @@
 		case <-c.finished:
 			return false
 		case <-poll.C:
-			if err := sendingEnded(c.client); err != nil && c.disconnectUnestablished(err) {
-				return false
-			}
-			if unreadBytes(c.client) > maxUnreadBytes && c.disconnectOnViolation() {
+			if c.hasLeft() {
 				return false
 			}
 		}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -210,7 +210,7 @@
 	defer timeout.Stop()
 	return attempt(ctx, target, &c.opening, attemptHooks{
 		connectTimeout: c.proxy.cfg.ConnectTimeout,
-		authorize:      func() error { return c.awaitAuthorization(ctx, target.Number, timeout.C) },
+		authorize:      func() error { return c.authorizeWrite(ctx, target.Number, timeout.C) },
 		written: func(began time.Time) {
 			c.recordDispatch(string(target.Host), began)
 			c.proxy.node.AttemptWritten(c.requestID, c, target.Number, began)
@@ -218,6 +218,18 @@
 	}, in)
 }
 
+// authorizeWrite returns nil if an attempt that has connected may write the opening line. It looks at the client last:
+// the goroutine that reads the client may not have seen its end yet.
+func (c *conn) authorizeWrite(ctx context.Context, number int, timeout <-chan time.Time) error {
+	if err := c.awaitAuthorization(ctx, number, timeout); err != nil {
+		return err
+	}
+	if c.hasLeft() {
+		return errCancelled
+	}
+	return nil
+}
+
 // awaitAuthorization asks the node whether an attempt that has connected may write the opening line. It waits no longer
 // than the attempt's timeout, so that a node that does not answer cannot block the client.
 func (c *conn) awaitAuthorization(ctx context.Context, number int, timeout <-chan time.Time) error {
