A request id that comes again after its client has left is not run a second time

Cause: releaseRequest forgets a request with the end of its last attempt. While that runs, the id is answered "already in use", which rules out the cancellation's race.

What is known not to have run may come again, and so may mid-flow lines.

--- /dev/null
+++ b/cmd/onyxstream/repeated_id_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// openWithID sends an opening line with a given request id.
+func (p *nodeProcess) openWithID(t *testing.T, id string) *testClient {
+	t.Helper()
+	client := p.dial(t)
+	client.send(fmt.Sprintf("OPEN %s key%s c=chat,t=acme,d=2500\r\n", id, id))
+	return client
+}
+
+// A request whose host was still working, or had brought it up, ran a second time when its id came again after its client
+// had left.
+func TestRequestID_RepeatedAfterClientLeft_NotForwarded(t *testing.T) {
+	t.Parallel()
+	for _, response := range []string{"", "UP x\r\n"} {
+		for _, byReset := range []bool{false, true} {
+			host := newFakeHost(t, "h1")
+			host.setResponse(response)
+			node, _ := startNodeWithHosts(t, nodeOptions{}, host)
+			id := fmt.Sprintf("again%d", nextID())
+			first := node.openWithID(t, id)
+			eventually(t, "the host has received the request", func() bool { return host.timesReceived(id) == 1 })
+			if response != "" {
+				first.expectLine("UP")
+			}
+			if byReset {
+				_ = first.conn.SetLinger(0)
+			}
+			_ = first.conn.Close()
+			for range 5 {
+				node.openWithID(t, id).expectLine("ERR")
+				time.Sleep(50 * time.Millisecond)
+			}
+			if got := host.timesReceived(id); got != 1 {
+				t.Errorf("response %q, reset %v: the host received the request %d times, want once", response, byReset, got)
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	// Requests and hosts.
 	pendingEvents []balancer.Event // events that the balancer has not handled yet
 	requests      map[balancer.RequestID]*request
+	executedIDs   *executedIDs
 	hosts         map[balancer.ServerID]*hostRecord
 	classIndex    map[string]int
 	tenantIndex   map[string]int
@@ -88,6 +89,7 @@
 		events:               make(chan event, eventQueueSize),
 		done:                 make(chan struct{}),
 		requests:             map[balancer.RequestID]*request{},
+		executedIDs:          newExecutedIDs(),
 		hosts:                map[balancer.ServerID]*hostRecord{},
 		classIndex:           indexByName(set.ClassNames),
 		tenantIndex:          indexByName(set.TenantNames),
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -101,6 +101,12 @@
 		e.conn.Fail()
 		return
 	}
+	// The packets of an established connection may come back to this node under the id of that connection.
+	if !e.opening.MidFlow && n.executedIDs.contains(e.id) {
+		n.log.Info("request id used before", zap.String("request", e.opening.ID))
+		e.conn.Fail()
+		return
+	}
 	arrival := n.toArrival(e.opening, n.timeLeft(e.deadline))
 	if arrival.Class == noClass {
 		n.log.Info("unknown class in opening line", zap.String("class", e.opening.Class))
@@ -228,9 +234,14 @@
 	}
 }
 
-// releaseRequest deletes a request that needs no final answer and has no active attempt.
+// releaseRequest deletes a request that needs no final answer and has no active attempt. If a host may have executed it,
+// its id is remembered.
 func (n *Node) releaseRequest(id balancer.RequestID, r *request) {
-	if r.answered && !r.attemptActive && n.requests[id] == r {
-		delete(n.requests, id)
+	if !r.answered || r.attemptActive || n.requests[id] != r {
+		return
+	}
+	delete(n.requests, id)
+	if !r.mayHaveExecutedAt.IsZero() {
+		n.executedIDs.add(id)
 	}
 }
