Probe clients of the test cluster use a new id for each request

The protocol asks for an id "new with every connection", so the probe was at fault. It now counts requests over the whole cluster. The checks and their bounds are as they were; the test passes, with the rolling and admission tests.

--- a/internal/testcluster/admission_probe.go
+++ b/internal/testcluster/admission_probe.go
@@ -79,13 +79,13 @@
 func (p *probeClient) run(ctx context.Context) {
 	retryField := ""
 	addr := p.cluster.nodes[p.result.Node].addr
-	for attempt := 0; ctx.Err() == nil; attempt++ {
+	for ctx.Err() == nil {
 		connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", addr)
 		if err != nil {
 			ctxtime.Sleep(ctx, probeRetryInterval)
 			continue
 		}
-		answer, err := p.request(connection, attempt, retryField)
+		answer, err := p.request(connection, retryField)
 		served, wait := p.handleAnswer(ctx, answer, err)
 		if served {
 			// The client holds the established connection for the length of its deadline.
@@ -99,8 +99,9 @@
 	}
 }
 
-// request sends a request and returns the first line that the node sends, without its line end.
-func (p *probeClient) request(connection net.Conn, attempt int, retryField string) (answer string, err error) {
+// request sends a request with an id that no client of the cluster has used, and returns the first line that the node
+// sends, without its line end.
+func (p *probeClient) request(connection net.Conn, retryField string) (answer string, err error) {
 	clock := p.cluster.Clock
 	start := clock.Now()
 	if p.result.FirstSentAt == 0 {
@@ -109,7 +110,7 @@
 	_ = connection.SetDeadline(time.Now().Add(p.deadline + probeReadGrace))
 	class, tenant := p.cluster.options.Classes[0].Name, p.cluster.options.Tenants[0]
 	fmt.Fprintf(connection, "OPEN %s-%d %s c=%s,t=%s,d=%d%s\r\n",
-		p.name, attempt, p.name, class, tenant, p.deadline.Milliseconds(), retryField)
+		p.name, p.cluster.probeRequests.Add(1), p.name, class, tenant, p.deadline.Milliseconds(), retryField)
 	line, err := bufio.NewReaderSize(connection, probeBuffer).ReadString('\n')
 	p.result.MaxLatency = max(p.result.MaxLatency, clock.Now()-start)
 	return strings.TrimRight(line, "\r\n"), err
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -52,6 +52,8 @@
 	controlLinks   []*fakeserver.Link // from a node or agent to a node's control listener, named "n1>n2" or "a1>n2"
 	timeline       timeline
 
+	probeRequests atomic.Int64 // number of requests that probe clients have sent; part of their ids
+
 	mu          sync.Mutex // guards the fields below
 	hosts       []*fakeserver.Host
 	hostLinks   []*fakeserver.Link // index is that of the host
