--- a/cmd/onyxstream/repeated_id_test.go
+++ b/cmd/onyxstream/repeated_id_test.go
@@ -43,3 +43,35 @@
 		}
 	}
 }
+
+// A request id that one process of a node has served, or serves, ran a second time when it came to the other process of
+// a hot restart.
+func TestRequestID_RepeatedAtSuccessor_NotForwarded(t *testing.T) {
+	t.Parallel()
+	for _, state := range []string{"waiting", "established", "left"} {
+		host := newFakeHost(t, "h1")
+		if state != "established" {
+			host.setResponse("")
+		}
+		options, discovery := inheritedSocketOptions(t, host)
+		node := startNode(t, options, discovery.addr)
+		id := fmt.Sprintf("again%d", nextID())
+		first := node.openWithID(t, id)
+		eventually(t, "the host has received the request", func() bool { return host.timesReceived(id) == 1 })
+		if state == "left" {
+			_ = first.conn.Close()
+		}
+		successor := startSuccessor(t, options, discovery.addr)
+		for range 20 { // either process may accept a connection
+			successor.openWithID(t, id).expectLine("ERR")
+		}
+		node.terminate(t)
+		node.waitForCleanExit(t)
+		for range 5 {
+			successor.openWithID(t, id).expectLine("ERR")
+		}
+		if got := host.timesReceived(id); got != 1 {
+			t.Errorf("first request %s: the host received the id %d times, want once", state, got)
+		}
+	}
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -88,6 +88,7 @@
 		return err
 	}
 	p.coordinator = p.newCoordinator()
+	p.proxy.SetIDClaims(p.coordinator)
 	defer p.coordinator.Close()
 	log.Info("started",
 		zap.String("listen", cfg.Listen), zap.Int("known_hosts", len(cfg.KnownEndpoints.Endpoints)))
--- a/internal/multiprocess/coordinator.go
+++ b/internal/multiprocess/coordinator.go
@@ -46,6 +46,7 @@
 	// The shared folder.
 	exchange   atomic.Pointer[hotrestart.Exchange] // set before store, and so not nil whenever store is not nil
 	store      atomic.Pointer[sharedstate.Store]   // nil while the folder can't be used
+	claims     atomic.Pointer[sharedstate.Claims]  // nil while its file can't be opened
 	openFailed bool                                // used only by openStore, which has one caller at a time
 
 	// The processes of the node.
@@ -71,13 +72,11 @@
 
 // openStore opens the shared folder unless it is open already. Run calls it again until it succeeds.
 func (c *Coordinator) openStore() {
-	if c.cfg.Folder == "" || c.store.Load() != nil {
+	if c.cfg.Folder == "" || c.claims.Load() != nil {
 		return
 	}
-	store, err := sharedstate.Open(c.cfg.Folder, c.cfg.Node)
+	err := c.openStoreAndClaims()
 	if err == nil {
-		c.exchange.Store(hotrestart.NewExchange(store))
-		c.store.Store(store)
 		return
 	}
 	if !c.openFailed { // logs once, not for each retry
@@ -86,6 +85,39 @@
 	c.openFailed = true
 }
 
+func (c *Coordinator) openStoreAndClaims() error {
+	store := c.store.Load()
+	if store == nil {
+		var err error
+		store, err = sharedstate.Open(c.cfg.Folder, c.cfg.Node)
+		if err != nil {
+			return err
+		}
+		c.exchange.Store(hotrestart.NewExchange(store))
+		c.store.Store(store)
+	}
+	claims, err := store.OpenClaims()
+	if err != nil {
+		return err
+	}
+	c.claims.Store(claims)
+	return nil
+}
+
+// ClaimID claims a request id for this process. It reports false if another process of the node has served the id or
+// serves it now. While the shared folder can't be used, it reports true.
+func (c *Coordinator) ClaimID(id string) bool {
+	claims := c.claims.Load()
+	if claims == nil {
+		return true
+	}
+	ok, err := claims.Claim(id)
+	if err != nil {
+		c.recordStoreResult(err)
+	}
+	return ok
+}
+
 // Start applies the overrides that earlier processes of the node stored. It must be called before the other methods.
 func (c *Coordinator) Start(controlServer *control.Server) {
 	c.controlServer = controlServer
@@ -106,6 +138,9 @@
 
 // Close removes this process's liveness file from the shared folder. The other methods must not be called after it.
 func (c *Coordinator) Close() {
+	if claims := c.claims.Load(); claims != nil {
+		claims.Close()
+	}
 	if store := c.store.Load(); store != nil {
 		store.Close()
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,6 +42,7 @@
 	node    *node.Node
 	metrics *metrics
 	pings   *healthcheck.Pinger // counts its descriptors in the budget, and locks mu for that
+	claims  IDClaims            // nil if there is only one process of the node
 
 	// mu guards the descriptor budget and the set of connections: the fields below, and cfg.MaxDescriptors. The
 	// shutdown channel and the wait group may be used without it.
@@ -75,6 +76,15 @@
 	p.pings.Attach(n)
 }
 
+// IDClaims keeps the processes of a node from serving the same request id.
+type IDClaims interface {
+	// ClaimID claims an id for this process, and reports false if another process has claimed it.
+	ClaimID(id string) bool
+}
+
+// SetIDClaims sets where request ids are claimed. It must be called before Serve.
+func (p *Proxy) SetIDClaims(claims IDClaims) { p.claims = claims }
+
 // Ping starts a ping of a host and does not block. It reports false if no descriptor is free or the proxy is shut down.
 func (p *Proxy) Ping(id balancer.ServerID, addr string) bool { return p.pings.Ping(id, addr) }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -23,6 +23,10 @@
 		c.resume(&state)
 		return
 	}
+	if !c.claimID() {
+		c.proxy.log.Info(duplicateIDMessage, zap.String("request", c.opening.ID))
+		return
+	}
 	fallbackTimer := time.NewTimer(max(time.Until(deadline), 0) + c.proxy.cfg.AnswerSlack)
 	defer fallbackTimer.Stop()
 	c.proxy.node.RequestArrived(&c.opening, deadline, c)
@@ -47,6 +51,15 @@
 	}
 }
 
+// claimID claims the request id for this process. It reports false if another process of the node has claimed it. The
+// packets of an established connection may arrive here under the id that another process has claimed.
+func (c *conn) claimID() bool {
+	if c.proxy.claims == nil {
+		return true
+	}
+	return c.proxy.claims.ClaimID(c.opening.ID) || c.opening.MidFlow
+}
+
 // execute executes a decision of the node.
 func (c *conn) execute(d decision, state *requestState, deadline time.Time) {
 	if d.attempt == nil {
