--- a/internal/discovery/listrequest.go
+++ b/internal/discovery/listrequest.go
@@ -117,16 +117,16 @@
 	if r.chosen != nil || len(r.attempts) > 0 && !r.attempts[len(r.attempts)-1].overdue {
 		return nil, nil
 	}
-	r.makeRoom(now)
+	r.giveUpSurplus(now)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	added := &attempt{request: r, cancel: cancel, ended: make(chan struct{}), startedAt: now}
 	r.attempts = append(r.attempts, added)
 	return added, attemptCtx
 }
 
-// makeRoom gives up an attempt if there are maxAttempts. The oldest has waited longest and is the first to get a slow
+// giveUpSurplus gives up an attempt if there are maxAttempts. The oldest has waited longest and is the first to get a slow
 // response, so it is kept for maxWait. The caller holds mu.
-func (r *listRequest) makeRoom(now time.Time) {
+func (r *listRequest) giveUpSurplus(now time.Time) {
 	if len(r.attempts) < maxAttempts {
 		return
 	}
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -63,7 +63,7 @@
 		case <-c.established:
 			readOn = c.flushToHost(in)
 		default:
-			readOn = c.holdBack(in)
+			readOn = c.bufferEarlyData(in)
 		}
 		if !readOn || !c.readClient(reader) {
 			return
@@ -85,10 +85,10 @@
 	return true
 }
 
-// holdBack keeps in the buffer what a client sends before the connection is established. If the buffer is full, it
+// bufferEarlyData keeps in the buffer what a client sends before the connection is established. If the buffer is full, it
 // waits until the connection is established and forwards the buffer. It reports false if the client must not be read
 // further.
-func (c *conn) holdBack(in *wire.LineBuffer) bool {
+func (c *conn) bufferEarlyData(in *wire.LineBuffer) bool {
 	if len(in.Buffered()) == 0 {
 		return true
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -167,13 +167,13 @@
 	p.clients.Add(1)
 	go func() {
 		defer p.clients.Done()
-		defer p.forget(c)
+		defer p.remove(c)
 		defer logging.RecoverPanic(p.log, "connection panicked") // run has answered the client by then
 		run()
 	}()
 }
 
-func (p *Proxy) forget(c *conn) {
+func (p *Proxy) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
