testgate prints the output of tests that have no result

The output of tests without a result is now printed when their package fails.

TestReadEvents_TestUnfinished_OutputPrinted fails before (nothing but the package's line is printed) and passes now. What testgate accepts is unchanged.

--- a/tools/testgate/results.go
+++ b/tools/testgate/results.go
@@ -104,6 +104,7 @@
 func (r *testResults) recordEnd(event testEvent, id testID, out io.Writer) {
 	if event.Test == "" {
 		r.packages[event.Package] = event.Action
+		r.printUnfinished(event.Package, out)
 		r.printOutput(id, out)
 		return
 	}
@@ -123,6 +124,16 @@
 	delete(r.output, id)
 }
 
+// printUnfinished writes the output of the tests of a package that have no result, because a goroutine panicked or the
+// process was killed.
+func (r *testResults) printUnfinished(name string, out io.Writer) {
+	for id, action := range r.tests {
+		if id.Package == name && action == actionRun {
+			r.printOutput(id, out)
+		}
+	}
+}
+
 // printOutput writes the output of a test or package to out and discards it. For a package that did not fail it writes
 // only the last line.
 func (r *testResults) printOutput(id testID, out io.Writer) {
--- a/tools/testgate/results_test.go
+++ b/tools/testgate/results_test.go
@@ -60,3 +60,22 @@
 		})
 	}
 }
+
+// If a goroutine of a test panics, the package ends without a result of the test. The output of the test, which has the
+// panic, must be printed then.
+func TestReadEvents_TestUnfinished_OutputPrinted(t *testing.T) {
+	const run = `{"Action":"run","Package":"p","Test":"TestA"}
+{"Action":"run","Package":"p","Test":"TestA/one"}
+{"Action":"output","Package":"p","Test":"TestA/one","Output":"panic: wrong\n"}
+{"Action":"output","Package":"p","Test":"TestA/one","Output":"goroutine 7\n"}
+{"Action":"output","Package":"p","Output":"FAIL\tp\n"}
+{"Action":"fail","Package":"p"}
+`
+	var printed strings.Builder
+	if err := newTestResults().readEvents(strings.NewReader(run), &printed); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("panic: wrong\ngoroutine 7\nFAIL\tp\n", printed.String()); diff != "" {
+		t.Error(diff)
+	}
+}
