A test host whose restart fails can be restarted or closed without a panic

Cause: Host.restart assigned the result of net.Listen to the host's listener before it looked at the error. After a failed restart the listener was nil, and the next crash, or the close of the cluster, panicked in the host's goroutine.

Change: the listener is replaced only after net.Listen has succeeded.

Measured: TestHostRestart_PortTaken_ErrorUntilFree panics before (nil pointer dereference in Host.crash) and passes now.

--- a/internal/fakeserver/host_faults.go
+++ b/internal/fakeserver/host_faults.go
@@ -134,13 +134,14 @@
 	return err
 }
 
-// restart listens at the same address again and resets the state. It runs in the loop.
+// restart listens at the same address again and resets the state. If it fails, the host stays crashed. It runs in the
+// loop.
 func (h *Host) restart() error {
-	var err error
-	h.listener, err = net.Listen("tcp", h.addr)
+	listener, err := net.Listen("tcp", h.addr)
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.config.ID, err)
 	}
+	h.listener = listener
 	h.crashed = false
 	h.draining = false
 	h.restarted = true
--- a/internal/fakeserver/host_test.go
+++ b/internal/fakeserver/host_test.go
@@ -143,3 +143,34 @@
 	dial(t, host.Addr(), "OPEN stood key c=chat,t=acme,d=2000,at=h1").expect("UP ")
 	dial(t, host.Addr(), "OPEN stood2 key c=chat,t=acme,d=2000,at=h2").expect("ERR")
 }
+
+// A crashed host whose port another program has taken must report the error at its restart, and must restart once the
+// port is free. Such a host made the process of a soak panic when its cluster was closed.
+func TestHostRestart_PortTaken_ErrorUntilFree(t *testing.T) {
+	host := newFixture(t).host("h1", nil)
+	host.Crash()
+	listener, err := net.Listen("tcp", host.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := host.Restart(); err == nil {
+		t.Error("the host has restarted at a port that is taken, want an error")
+	}
+	if !host.State().Crashed {
+		t.Error("the host serves after a failed restart, want it crashed")
+	}
+	_ = listener.Close()
+	if err := host.Restart(); err != nil {
+		t.Errorf("restart after the port is free: %v", err)
+	}
+	dial(t, host.Addr(), "PING").expect("PONG")
+	host.Crash()
+	if listener, err = net.Listen("tcp", host.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if err := host.Restart(); err == nil {
+		t.Error("the host has restarted at a port that is taken again, want an error")
+	}
+	host.Close()
+}
