Hosts of the test cluster have loopback addresses of their own, like its nodes

Cause: hosts listened at 127.0.0.1 at a port of the range that the kernel also gives to outgoing connections and to other listeners. While a host was down for a fault, any program of the machine could take its port, and the restart failed.

Change: each host has its own address in 127.128.0.0 to 127.191.255.255, as each node has one in 127.64.0.0 to 127.127.255.255. Both ranges are one type now.

Measured: TestHostRestart_PortTakenOnLoopback_Restarted fails before for both of its hosts and passes now; the package's tests of restarts pass.

--- a/internal/testcluster/hosts.go
+++ b/internal/testcluster/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 
 	"onyxstream/internal/fakeserver"
@@ -29,6 +30,7 @@
 	config := fakeserver.HostConfig{
 		ID:            fmt.Sprint("h", index+1),
 		Zone:          c.config.zone(index),
+		Listen:        net.JoinHostPort(hostAddresses.ip(c.number, index), "0"),
 		Spec:          c.config.hostSpec(index),
 		Store:         c.store,
 		Seed:          c.options.Seed + uint64(index),
--- a/internal/testcluster/nodes.go
+++ b/internal/testcluster/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,7 +31,7 @@
 		starter: c.options.Starter,
 	}
 	var err error
-	if p.addr, err = c.freeNodeAddress(index); err != nil {
+	if p.addr, err = freeAddress(nodeAddresses.ip(c.number, index)); err != nil {
 		return err
 	}
 	if c.options.Debug {
@@ -66,32 +65,6 @@
 	return c.writeNodeConfig(p, "")
 }
 
-// freeNodeAddress returns an address for a node. Each node on this machine has its own IP address, so that neither
-// another cluster nor an outgoing connection can take the node's port during a restart.
-func (c *Cluster) freeNodeAddress(index int) (string, error) {
-	const (
-		firstNetwork     = 64 // 127.64.0.0 to 127.127.0.0
-		networks         = 64
-		nodesPerSubnet   = 250
-		subnetsPerGroup  = maxNodes / nodesPerSubnet
-		clustersPerGroup = 51
-	)
-	pid := os.Getpid()
-	network := firstNetwork + pid%networks
-	subnet := subnetsPerGroup*((pid/networks+c.number)%clustersPerGroup) + index/nodesPerSubnet
-	return freeAddress(fmt.Sprintf("127.%d.%d.%d", network, subnet, index%nodesPerSubnet+1))
-}
-
-// freeAddress returns an IP address with a free port.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // processConfigPath returns the path of the configuration file that a process reads in addition to the configuration
 // from the platform.
 func (c *Cluster) processConfigPath(p *process) string { return filepath.Join(c.dir, p.name+".toml") }
