The id of a resumed connection is not used for a request once its client has left

What callers saw: a client resumed a connection (at=) and left; a request with its id was then brought up, so that the id ran twice.

Cause: both records of used ids were written on the way of new requests alone. releaseRequest asked whether this process had sent the request to a host; at= lines did not come by claimID.

Change: an id is remembered when its connection was established, however that came about, and an at= line claims its id. Neither record refuses an at= line.

--- a/cmd/onyxstream/client_left_test.go
+++ b/cmd/onyxstream/client_left_test.go
@@ -37,11 +37,12 @@
 }
 
 // A client that had sent more than the node reads at once, and closed its connection while the node was busy, was
-// forwarded up to 0.3 s later: its close was looked for only behind the unread bytes.
+// forwarded up to 0.3 s later: its close was looked for only behind the unread bytes. The lines of mid-flow clients and of
+// those that resume a connection are no exceptions.
 func TestClientLeft_BytesUnread_NotForwarded(t *testing.T) {
 	host := newFakeHost(t, "h1")
 	node, _ := startNodeWithHosts(t, nodeOptions{}, host)
-	for _, fields := range []string{"", ",mid=1"} {
+	for _, fields := range []string{"", ",mid=1", ",at=h1"} {
 		for _, further := range []int{0, 100, 9000, 31000, 200000} {
 			for _, byReset := range []bool{false, true} {
 				id := fmt.Sprintf("left%d", nextID())
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -235,13 +235,13 @@
 }
 
 // releaseRequest deletes a request that needs no final answer and has no active attempt. If a host may have executed it,
-// its id is remembered.
+// in this process or in an earlier one, its id is remembered.
 func (n *Node) releaseRequest(id balancer.RequestID, r *request) {
 	if !r.answered || r.attemptActive || n.requests[id] != r {
 		return
 	}
 	delete(n.requests, id)
-	if !r.mayHaveExecutedAt.IsZero() {
+	if r.established || !r.mayHaveExecutedAt.IsZero() {
 		n.executedIDs.add(id)
 	}
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -19,14 +19,14 @@
 func (c *conn) serveRequest(deadline time.Time) {
 	state := newRequestState()
 	defer c.finishRequest(&state)
-	if c.opening.CurrentHost != "" {
-		c.resume(&state)
-		return
-	}
 	if !c.claimID() {
 		c.proxy.log.Info(duplicateIDMessage, zap.String("request", c.opening.ID))
 		return
 	}
+	if c.opening.CurrentHost != "" {
+		c.resume(&state)
+		return
+	}
 	fallbackTimer := time.NewTimer(max(time.Until(deadline), 0) + c.proxy.cfg.AnswerSlack)
 	defer fallbackTimer.Stop()
 	c.proxy.node.RequestArrived(&c.opening, deadline, c)
@@ -51,13 +51,14 @@
 	}
 }
 
-// claimID claims the request id for this process. It reports false if another process of the node has claimed it. The
-// packets of an established connection may arrive here under the id that another process has claimed.
+// claimID claims the request id for this process. It reports false if another process of the node has claimed it. An
+// established connection may come here under the id that another process has claimed: its packets, or its client that
+// resumes it. Its id is claimed so that no request gets it.
 func (c *conn) claimID() bool {
 	if c.proxy.claims == nil {
 		return true
 	}
-	return c.proxy.claims.ClaimID(c.opening.ID) || c.opening.MidFlow
+	return c.proxy.claims.ClaimID(c.opening.ID) || c.opening.MidFlow || c.opening.CurrentHost != ""
 }
 
 // execute executes a decision of the node.
