--- a/cmd/onyxstream/control_memory_test.go
+++ b/cmd/onyxstream/control_memory_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"testing"
 	"time"
 )
@@ -51,31 +50,12 @@
 // The responses of the control listener to many requesters at the same time, each with all hosts of a large fleet, took
 // more memory than a small node has: each response was encoded in full before it was written.
 func TestControlRequests_LargeFleet_MemoryLimitKept(t *testing.T) {
-	program, err := buildWithoutRaceDetector()
-	if err != nil {
-		t.Fatal(err)
-	}
 	limits := nodeLimits{32, 1024}
 	for _, request := range controlRequests {
 		t.Run(request.name, func(t *testing.T) {
 			endpoints := endpointsAt(largeFleet, newFakeHost(t, "h1").Addr())
 			list := endpointListJSON(1, true, endpoints...)
-			discovery := newFakeDiscovery(t, list)
-			socket := t.TempDir() + "/c"
-			config := fmt.Sprintf("[control]\nsocket = %q\n[coldstart]\nservice = \"s\"\n", socket)
-			options := nodeOptions{
-				mode:        "pass",
-				initialList: list,
-				memoryMB:    limits.memoryMB,
-				socketLimit: limits.descriptors,
-				programPath: program,
-			}
-			path := writeConfig(t, freeAddr(t), discovery.addr, options)
-			node := startProcessWith(t, path, options, "--config", writeFile(t, "node.toml", config))
-			eventually(t, "the control listener is open", func() bool {
-				_, err := os.Stat(socket)
-				return err == nil
-			})
+			node, discovery, socket := startNodeWithControlSocket(t, limits, list)
 			time.Sleep(500 * time.Millisecond) // the node reads the list
 			var sampler memorySampler
 			sampler.add(node)
--- a/cmd/onyxstream/hostile_control_test.go
+++ b/cmd/onyxstream/hostile_control_test.go
@@ -11,34 +11,41 @@
 	"time"
 )
 
-// Requesters of the control listener that stop in the middle of a large request, or of a header with very many short
-// fields, took several times the memory of a small node.
-func TestHostileControlRequests_Incomplete_MemoryLimitKept(t *testing.T) {
+// startNodeWithControlSocket starts a node with the given limits, an endpoint list and a control socket, and returns the
+// path of the socket. The node is built without the race detector, which takes memory of its own.
+func startNodeWithControlSocket(t *testing.T, limits nodeLimits, list string) (*nodeProcess, *fakeDiscovery, string) {
+	t.Helper()
 	program, err := buildWithoutRaceDetector()
 	if err != nil {
 		t.Fatal(err)
 	}
+	discovery := newFakeDiscovery(t, list)
+	socket := t.TempDir() + "/c"
+	config := fmt.Sprintf("[control]\nsocket = %q\n[coldstart]\nservice = \"s\"\n", socket)
+	options := nodeOptions{
+		mode:        "pass",
+		initialList: list,
+		memoryMB:    limits.memoryMB,
+		socketLimit: limits.descriptors,
+		programPath: program,
+	}
+	path := writeConfig(t, freeAddr(t), discovery.addr, options)
+	node := startProcessWith(t, path, options, "--config", writeFile(t, "node.toml", config))
+	eventually(t, "the control listener is open", func() bool {
+		_, err := os.Stat(socket)
+		return err == nil
+	})
+	return node, discovery, socket
+}
+
+// Requesters of the control listener that stop in the middle of a large request, or of a header with very many short
+// fields, took several times the memory of a small node.
+func TestHostileControlRequests_Incomplete_MemoryLimitKept(t *testing.T) {
 	limits := nodeLimits{32, 1024}
 	for name, request := range incompleteControlRequests() {
 		t.Run(name, func(t *testing.T) {
-			host := newFakeHost(t, "h1")
-			list := endpointListJSON(1, true, endpointsOf(host)...)
-			discovery := newFakeDiscovery(t, list)
-			socket := t.TempDir() + "/c"
-			config := fmt.Sprintf("[control]\nsocket = %q\n[coldstart]\nservice = \"s\"\n", socket)
-			options := nodeOptions{
-				mode:        "pass",
-				initialList: list,
-				memoryMB:    limits.memoryMB,
-				socketLimit: limits.descriptors,
-				programPath: program,
-			}
-			path := writeConfig(t, freeAddr(t), discovery.addr, options)
-			node := startProcessWith(t, path, options, "--config", writeFile(t, "node.toml", config))
-			eventually(t, "the control listener is open", func() bool {
-				_, err := os.Stat(socket)
-				return err == nil
-			})
+			list := endpointListJSON(1, true, endpointsOf(newFakeHost(t, "h1"))...)
+			node, _, socket := startNodeWithControlSocket(t, limits, list)
 			var sampler memorySampler
 			sampler.add(node)
 			for range hostileClients / 2 {
