A shared folder that blocks no longer keeps requests from their answers

What callers saw: with a file in the shared folder whose open blocks, a node answered no request, not even at its deadline.

Cause: a request claimed its id in its own goroutine, under a mutex, before the timer of its final answer started. A call to a file server that does not respond has no end.

Change: a goroutine of Claims uses the files. ClaimID no longer takes the coordinator's mutex.

--- a/cmd/onyxstream/shared_state_test.go
+++ b/cmd/onyxstream/shared_state_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // While a node has two processes, a host override or a drain that one process receives must apply to both.
@@ -63,6 +65,31 @@
 	}
 }
 
+// A shared directory in which a call blocks, like one of a file server that does not respond, must not delay requests.
+func TestSharedState_CallBlocks_RequestsServed(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	node := startNodeSharing(t, dir, newFakeHost(t, "ha"))
+	node.openRequest(t, "").expectLine("UP")
+	claims, err := filepath.Glob(dir + "/*.ids")
+	if err != nil || len(claims) != 1 {
+		t.Fatalf("files of claimed ids: %v, error %v; want one", claims, err)
+	}
+	blocking := strings.TrimSuffix(claims[0], fmt.Sprintf("-%d.ids", node.cmd.Process.Pid)) + "-1.ids"
+	if err := syscall.Mkfifo(blocking, 0o600); err != nil { // its open blocks until there is a writer
+		t.Fatal(err)
+	}
+	start := time.Now()
+	for range 20 {
+		node.openRequest(t, "").expectLine("UP")
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("20 requests took %v, want at most 2 s", took)
+	}
+	node.terminate(t)
+	node.waitForCleanExit(t)
+}
+
 // overrideFiles returns the paths of the files in dir that hold host overrides.
 func overrideFiles(t *testing.T, dir string) []string {
 	t.Helper()
--- a/internal/multiprocess/coordinator.go
+++ b/internal/multiprocess/coordinator.go
@@ -44,10 +44,11 @@
 	controlServer *control.Server
 
 	// The shared folder.
-	exchange   atomic.Pointer[hotrestart.Exchange] // set before store, and so not nil whenever store is not nil
-	store      atomic.Pointer[sharedstate.Store]   // nil while the folder can't be used
-	claims     atomic.Pointer[sharedstate.Claims]  // nil while its file can't be opened
-	openFailed bool                                // used only by openStore, which has one caller at a time
+	exchange    atomic.Pointer[hotrestart.Exchange] // set before store, and so not nil whenever store is not nil
+	store       atomic.Pointer[sharedstate.Store]   // nil while the folder can't be used
+	claims      atomic.Pointer[sharedstate.Claims]  // nil while its file can't be opened
+	claimFailed atomic.Bool                         // the last claim of an id failed
+	openFailed  bool                                // used only by openStore, which has one caller at a time
 
 	// The processes of the node.
 	soleProcess  atomic.Bool // no other process ran at the last check
@@ -105,15 +106,16 @@
 }
 
 // ClaimID claims a request id for this process. It reports false if another process of the node has served the id or
-// serves it now. While the shared folder can't be used, it reports true.
+// serves it now. While the shared folder can't be used, it reports true. It does not wait for mu, which is held during
+// calls to the shared folder.
 func (c *Coordinator) ClaimID(id string) bool {
 	claims := c.claims.Load()
 	if claims == nil {
 		return true
 	}
 	ok, err := claims.Claim(id)
-	if err != nil {
-		c.recordStoreResult(err)
+	if failed := err != nil; c.claimFailed.Swap(failed) != failed && failed {
+		c.log.Error("request ids are not compared with those of other processes", zap.Error(err))
 	}
 	return ok
 }
--- a/internal/sharedstate/claims_test.go
+++ b/internal/sharedstate/claims_test.go
@@ -1,8 +1,10 @@
 package sharedstate
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -21,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	other = &Claims{store: store, own: file, others: map[string]*os.File{}, buffer: make([]byte, maxClaims*claimSize)}
+	other = newClaims(store, file)
 	t.Cleanup(other.Close)
 	return own, other
 }
@@ -83,9 +85,14 @@
 	own, other := openClaims(t)
 	expectClaim(t, other, "a", true)
 	path := other.own.Name()
-	if _, err := own.store.OpenClaims(); err != nil {
-		t.Fatal(err)
+	openAgain := func() {
+		again, err := own.store.OpenClaims()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again.Close()
 	}
+	openAgain()
 	if _, err := os.Stat(path); err != nil {
 		t.Errorf("claims of a process that has just ended: %v, want the file", err)
 	}
@@ -93,10 +100,42 @@
 	if err := os.Chtimes(path, old, old); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := own.store.OpenClaims(); err != nil {
-		t.Fatal(err)
-	}
+	openAgain()
 	if _, err := os.Stat(path); !os.IsNotExist(err) {
 		t.Errorf("claims of a process that ended long ago: %v, want no file", err)
 	}
 }
+
+// While a call to the shared folder blocks, ids must be granted without waiting, and be compared again after that.
+func TestClaim_FolderBlocks_GrantedAtOnce(t *testing.T) {
+	own, other := openClaims(t)
+	path := own.store.ProcessFile(os.Getpid()+2, claimsSuffix)
+	if err := syscall.Mkfifo(path, 0o600); err != nil { // a read-only open blocks until there is a writer
+		t.Fatal(err)
+	}
+	start := time.Now()
+	for i := range 100 {
+		if ok, err := own.Claim(fmt.Sprint("id", i)); !ok || !errors.Is(err, ErrClaimsBlocked) {
+			t.Fatalf("claim %d: %v, error %v; want it granted with ErrClaimsBlocked", i, ok, err)
+		}
+	}
+	if took := time.Since(start); took > 10*claimTimeout {
+		t.Errorf("100 claims took %v, want at most %v", took, 10*claimTimeout)
+	}
+	writer, err := os.OpenFile(path, os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer writer.Close()
+	if ok, _ := other.Claim("after"); !ok { // the error is that of the file without a process
+		t.Error("the other process did not get a new id")
+	}
+	for deadline := time.Now().Add(10 * time.Second); own.isBlocked(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("ids are granted unseen 10 s after the folder answers again")
+		}
+	}
+	if ok, _ := own.Claim("after"); ok {
+		t.Error("an id of another process was granted after the folder answers again")
+	}
+}
