Claims of request ids compare the four files that were written last, and new ones

What callers would see: a node that is restarted again and again reads the file of each process that ended within five minutes for every request and holds it open, beside the descriptors that it counts; and of a file that has replaced one with the same process ID it sees the old one.

Cause: the set of open files of other processes only ever grew.

Change: for each claim the four files written last are chosen; others are closed, and a path that has another file is opened again.

Measured: TestClaim_ManyFilesOfEndedProcesses_NewestCompared (31 files open, 4 allowed) and TestClaim_FileReplaced_NewFileCompared fail before and pass now.

--- a/internal/sharedstate/claims.go
+++ b/internal/sharedstate/claims.go
@@ -5,7 +5,10 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"io/fs"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,6 +26,9 @@
 	maxClaims = 4096
 	// maxClaimsAge is how long the claims of an ended process count.
 	maxClaimsAge = 5 * time.Minute
+	// maxOtherFiles is the largest number of files of other processes that are compared: those of the other process of a
+	// hot restart, and of the last ones that ended.
+	maxOtherFiles = 4
 	// claimTimeout is how long a request waits for its claim.
 	claimTimeout = 100 * time.Millisecond
 )
@@ -43,9 +49,15 @@
 	// Used by the goroutine only.
 	store  *Store
 	own    *os.File
-	count  int64               // number of claims written so far
-	others map[string]*os.File // open files of other processes, by path
-	buffer []byte              // for the content of one file
+	count  int64                 // number of claims written so far
+	others map[string]claimsFile // open files of other processes, by path
+	buffer []byte                // for the content of one file
+}
+
+// claimsFile is an open file of another process.
+type claimsFile struct {
+	*os.File
+	info os.FileInfo // when it was opened; tells whether its path has another file now
 }
 
 // pendingClaim is a claim that waits to be processed.
@@ -66,7 +78,7 @@
 		startedAt: time.Now(),
 		store:     store,
 		own:       own,
-		others:    map[string]*os.File{},
+		others:    map[string]claimsFile{},
 		buffer:    make([]byte, maxClaims*claimSize),
 	}
 	go c.run()
@@ -152,7 +164,7 @@
 	c.count++
 	openErr := c.openOthers()
 	for _, other := range c.others {
-		claimed, err := c.contains(other, claim)
+		claimed, err := c.contains(other.File, claim)
 		if claimed {
 			return false, nil
 		}
@@ -166,26 +178,56 @@
 	return true, openErr
 }
 
-// openOthers opens the files of further processes.
+// openOthers opens the files of further processes, and closes those that no longer count.
 func (c *Claims) openOthers() error {
-	paths, err := c.store.ProcessFiles(claimsSuffix)
-	if err != nil {
-		return err
-	}
-	for _, path := range paths {
-		if path == c.own.Name() || c.others[path] != nil {
+	newest, err := c.newestOthers()
+	for path, file := range c.others {
+		info, counts := newest[path]
+		if counts && os.SameFile(info, file.info) {
+			delete(newest, path)
 			continue
 		}
+		_ = file.Close()
+		delete(c.others, path)
+	}
+	for path, info := range newest {
 		file, openErr := os.Open(path)
 		if openErr != nil {
 			err = openErr
 			continue
 		}
-		c.others[path] = file
+		c.others[path] = claimsFile{file, info}
 	}
 	return err
 }
 
+// newestOthers returns the files of the other processes, by path. If there are more than maxOtherFiles, it returns those
+// that were written last: a node that starts again and again leaves many.
+func (c *Claims) newestOthers() (map[string]os.FileInfo, error) {
+	paths, err := c.store.ProcessFiles(claimsSuffix)
+	if err != nil {
+		return nil, err
+	}
+	infos := map[string]os.FileInfo{}
+	for _, path := range paths {
+		info, statErr := os.Stat(path)
+		switch {
+		case path == c.own.Name(), errors.Is(statErr, fs.ErrNotExist):
+		case statErr != nil:
+			err = statErr
+		default:
+			infos[path] = info
+		}
+	}
+	newestFirst := slices.SortedFunc(maps.Keys(infos), func(a, b string) int {
+		return infos[b].ModTime().Compare(infos[a].ModTime())
+	})
+	for _, path := range newestFirst[min(len(newestFirst), maxOtherFiles):] {
+		delete(infos, path)
+	}
+	return infos, err
+}
+
 // contains reports whether a file has a claim.
 func (c *Claims) contains(file *os.File, claim [claimSize]byte) (bool, error) {
 	n, err := file.ReadAt(c.buffer, 0)
--- a/internal/sharedstate/claims_test.go
+++ b/internal/sharedstate/claims_test.go
@@ -139,3 +139,45 @@
 		t.Error("an id of another process was granted after the folder answers again")
 	}
 }
+
+// A node that has started many times leaves many files. Those of the last processes count, and no more are open: each takes
+// a descriptor and the time to read it, for every request.
+func TestClaim_ManyFilesOfEndedProcesses_NewestCompared(t *testing.T) {
+	own, other := openClaims(t)
+	const ended = 30
+	for i := range ended {
+		path := own.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
+		if err := os.WriteFile(path, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		at := time.Now().Add(-time.Duration(i+1) * time.Second)
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectClaim(t, other, "a", true)
+	expectClaim(t, own, "a", false)
+	expectClaim(t, own, "b", true)
+	if n := len(own.others); n > maxOtherFiles {
+		t.Errorf("%d files of other processes are open, want at most %d", n, maxOtherFiles)
+	}
+}
+
+// A process may get the ID of one that ended long ago. Its file has another file's path then.
+func TestClaim_FileReplaced_NewFileCompared(t *testing.T) {
+	own, other := openClaims(t)
+	expectClaim(t, other, "a", true)
+	expectClaim(t, own, "a", false)
+	path := other.own.Name()
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	successor := newClaims(own.store, file)
+	t.Cleanup(successor.Close)
+	expectClaim(t, successor, "b", true)
+	expectClaim(t, own, "b", false)
+}
