The id of an open connection stays claimed for as long as the connection is open

What callers saw: during an upgrade a request with the id of an open connection was served by the new process, if 4,200 requests had come since the connection, or if the process that had opened it had ended long ago (a second upgrade).

Cause: a claim had an age, not an owner. A process's file held its last 4,096 requests, and a process that took over a connection did not claim its id.

Change: an id is in use from its claim until its connection ends. The claim of an id in use is not overwritten; the file grows if more are in use than it holds. A process claims the ids of the connections that it takes over. Of many files, those of the processes that were alive last are compared, so that an idle process counts.

TestClaim_TooMany_OldestForgotten releases its ids, as ended requests do, and asks also that an id in use is refused.

--- a/cmd/onyxstream/repeated_id_test.go
+++ b/cmd/onyxstream/repeated_id_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -105,3 +108,53 @@
 		}
 	}
 }
+
+// requestWhileSuspended sends a request while an earlier process of the node is suspended, so that the successor accepts
+// it, and checks the answer.
+func (p *nodeProcess) requestWhileSuspended(t *testing.T, earlier *nodeProcess, id, want string) {
+	t.Helper()
+	earlier.sendSignal(t, syscall.SIGSTOP)
+	defer earlier.sendSignal(t, syscall.SIGCONT)
+	eventually(t, "the earlier process is suspended", func() bool { return earlier.allThreadsStopped(t) })
+	p.openWithID(t, id).expectLine(want)
+}
+
+// While a connection is open, its id must not be served by the successor, however many requests have come since.
+func TestRequestID_OpenDuringManyRequests_NotServedBySuccessor(t *testing.T) {
+	t.Parallel()
+	const laterRequests = 4200 // more than a process's file of claims holds
+	options, discovery := inheritedSocketOptions(t, newFakeHost(t, "h1"))
+	node := startNode(t, options, discovery.addr)
+	id := fmt.Sprintf("again%d", nextID())
+	node.openWithID(t, id).expectLine("UP")
+	for range laterRequests {
+		client := node.openWithID(t, fmt.Sprintf("later%d", nextID()))
+		client.expectLine("UP")
+		_ = client.conn.Close()
+	}
+	successor := startSuccessor(t, options, discovery.addr)
+	successor.requestWhileSuspended(t, node, id, "ERR")
+}
+
+// While a connection is open, its id must not be served by a successor, even if it was opened two processes earlier and
+// that process ended long ago.
+func TestRequestID_OpenSinceEarlierProcess_NotServedBySuccessor(t *testing.T) {
+	t.Parallel()
+	options, discovery := inheritedSocketOptions(t, newFakeHost(t, "h1"))
+	first := startNode(t, options, discovery.addr)
+	id := fmt.Sprintf("again%d", nextID())
+	first.openWithID(t, id).expectLine("UP")
+	second := startSuccessor(t, options, discovery.addr)
+	first.terminate(t)
+	first.waitForCleanExit(t)
+	claims, err := filepath.Glob(fmt.Sprintf("%s/*-%d.ids", options.sharedDir(), first.cmd.Process.Pid))
+	if err != nil || len(claims) != 1 {
+		t.Fatalf("files of the ids of the first process: %v, error %v; want one", claims, err)
+	}
+	longAgo := time.Now().Add(-time.Hour)
+	if err := os.Chtimes(claims[0], longAgo, longAgo); err != nil {
+		t.Fatal(err)
+	}
+	third := startSuccessor(t, options, discovery.addr)
+	third.requestWhileSuspended(t, second, id, "ERR")
+}
--- a/internal/multiprocess/coordinator.go
+++ b/internal/multiprocess/coordinator.go
@@ -114,10 +114,29 @@
 		return true
 	}
 	ok, err := claims.Claim(id)
+	c.recordClaimResult(err)
+	return ok
+}
+
+// HoldID claims the id of a connection that another process has handed off to this one.
+func (c *Coordinator) HoldID(id string) {
+	if claims := c.claims.Load(); claims != nil {
+		c.recordClaimResult(claims.Hold(id))
+	}
+}
+
+// ReleaseID ends the use of an id that was claimed or held.
+func (c *Coordinator) ReleaseID(id string) {
+	if claims := c.claims.Load(); claims != nil {
+		claims.Release(id)
+	}
+}
+
+// recordClaimResult logs an error. It does not log further errors until a claim succeeds.
+func (c *Coordinator) recordClaimResult(err error) {
 	if failed := err != nil; c.claimFailed.Swap(failed) != failed && failed {
 		c.log.Error("request ids are not compared with those of other processes", zap.Error(err))
 	}
-	return ok
 }
 
 // Start applies the overrides that earlier processes of the node stored. It must be called before the other methods.
--- a/internal/proxy/adopt.go
+++ b/internal/proxy/adopt.go
@@ -71,6 +71,8 @@
 	}
 	inherited = true
 	c.proxy.node.ConnectionInherited(&c.opening, c)
+	c.holdID()
+	defer c.releaseID()
 	if handedOff.Load > 0 {
 		c.load = handedOff.Load
 		c.proxy.node.ReportLoad(c.requestID, c, handedOff.Load)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,6 +80,10 @@
 type IDClaims interface {
 	// ClaimID claims an id for this process, and reports false if another process has claimed it.
 	ClaimID(id string) bool
+	// HoldID claims the id of a connection that was taken over from another process.
+	HoldID(id string)
+	// ReleaseID ends the use of an id, after ClaimID with any result or after HoldID.
+	ReleaseID(id string)
 }
 
 // SetIDClaims sets where request ids are claimed. It must be called before Serve.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -18,6 +18,7 @@
 // proxy does.
 func (c *conn) serveRequest(deadline time.Time) {
 	state := newRequestState()
+	defer c.releaseID()
 	defer c.finishRequest(&state)
 	if !c.claimID() {
 		c.proxy.log.Info(duplicateIDMessage, zap.String("request", c.opening.ID))
@@ -61,6 +62,20 @@
 	return c.proxy.claims.ClaimID(c.opening.ID) || c.opening.MidFlow || c.opening.CurrentHost != ""
 }
 
+// holdID claims the id of a connection that was handed off to this process.
+func (c *conn) holdID() {
+	if c.proxy.claims != nil {
+		c.proxy.claims.HoldID(c.opening.ID)
+	}
+}
+
+// releaseID ends the use of an id that this connection has claimed or held.
+func (c *conn) releaseID() {
+	if c.proxy.claims != nil {
+		c.proxy.claims.ReleaseID(c.opening.ID)
+	}
+}
+
 // execute executes a decision of the node.
 func (c *conn) execute(d decision, state *requestState, deadline time.Time) {
 	if d.attempt == nil {
--- a/internal/sharedstate/claims.go
+++ b/internal/sharedstate/claims.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,8 @@
 	claimsSuffix = ".ids"
 
 	claimSize = 8 // length of a claim in bytes
-	// maxClaims is how many request ids a process's file holds. A process that sees 100 requests per second overwrites
-	// a claim after 40 s.
+	// maxClaims is how many request ids a process's file holds, unless more are in use. A process that sees 100 requests
+	// per second overwrites a claim 40 s after its request has ended.
 	maxClaims = 4096
 	// maxClaimsAge is how long the claims of an ended process count.
 	maxClaimsAge = 5 * time.Minute
@@ -38,7 +39,8 @@
 
 // Claims keeps the processes of a node from serving the same request id. Each process writes the ids that it serves to a
 // file of its own, and then looks for the id in the files of the others. So of two processes that claim an id at the
-// same time, at least one finds the claim of the other. A goroutine of its own uses the files, because a call to a shared
+// same time, at least one finds the claim of the other. The claim of an id in use is not overwritten, so that it counts
+// as long as its connection is open. A goroutine of its own uses the files, because a call to a shared
 // folder may block. Its methods may be called from any goroutine.
 type Claims struct {
 	pending   chan pendingClaim
@@ -46,12 +48,24 @@
 	startedAt time.Time
 	busySince atomic.Int64 // when the goroutine began to process a claim, in ns since startedAt; 0 while it waits for one
 
+	mu    sync.Mutex
+	inUse map[claim]int // number of connections by claim
+
 	// Used by the goroutine only.
-	store  *Store
-	own    *os.File
-	count  int64                 // number of claims written so far
-	others map[string]claimsFile // open files of other processes, by path
-	buffer []byte                // for the content of one file
+	store   *Store
+	own     *os.File
+	written []claim // content of own
+	next    int     // index in written of the claim that is overwritten next, unless it is in use
+	others  map[string]claimsFile
+	buffer  []byte // for the content of one file
+}
+
+// claim is a hash of a request id, as it is written to a file.
+type claim [claimSize]byte
+
+func newClaim(id string) (c claim) {
+	binary.LittleEndian.PutUint64(c[:], max(xxhash.Sum64String(id), 1)) // 0 is the content of a hole in the file
+	return c
 }
 
 // claimsFile is an open file of another process.
@@ -62,8 +76,9 @@
 
 // pendingClaim is a claim that waits to be processed.
 type pendingClaim struct {
-	claim  [claimSize]byte
-	result chan<- claimResult
+	claim   claim
+	compare bool // with the claims of other processes
+	result  chan<- claimResult
 }
 
 type claimResult struct {
@@ -78,6 +93,7 @@
 		startedAt: time.Now(),
 		store:     store,
 		own:       own,
+		inUse:     map[claim]int{},
 		others:    map[string]claimsFile{},
 		buffer:    make([]byte, maxClaims*claimSize),
 	}
@@ -102,7 +118,7 @@
 
 // isOutdated reports whether a file of claims belongs to a process that ended more than maxClaimsAge ago.
 func isOutdated(path string) bool {
-	if _, err := os.Stat(strings.TrimSuffix(path, claimsSuffix) + livenessSuffix); err == nil {
+	if _, err := os.Stat(livenessPathOf(path)); err == nil {
 		return false
 	}
 	info, err := os.Stat(path)
@@ -111,18 +127,41 @@
 
 // Claim claims a request id for this process. It reports false if another process has claimed the id. An error means
 // that the claim could not be written or not be compared with those of all other processes. Claim returns after
-// claimTimeout at the latest, and while the shared folder blocks it returns ErrClaimsBlocked at once.
-func (c *Claims) Claim(id string) (ok bool, err error) {
+// claimTimeout at the latest, and while the shared folder blocks it returns ErrClaimsBlocked at once. The id is in use
+// until Release is called, also after an error or if another process has it.
+func (c *Claims) Claim(id string) (ok bool, err error) { return c.submit(newClaim(id), true) }
+
+// Hold claims the id of a connection that this process has taken over. It does not compare the id with those of other
+// processes. The id is in use until Release is called.
+func (c *Claims) Hold(id string) error {
+	_, err := c.submit(newClaim(id), false)
+	return err
+}
+
+// Release ends one use of an id.
+func (c *Claims) Release(id string) {
+	released := newClaim(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inUse[released]--
+	if c.inUse[released] <= 0 {
+		delete(c.inUse, released)
+	}
+}
+
+// submit passes a claim to the goroutine and waits for the result.
+func (c *Claims) submit(submitted claim, compare bool) (ok bool, err error) {
+	c.mu.Lock()
+	c.inUse[submitted]++
+	c.mu.Unlock()
 	if c.isBlocked() {
 		return true, ErrClaimsBlocked
 	}
-	var claim [claimSize]byte
-	binary.LittleEndian.PutUint64(claim[:], max(xxhash.Sum64String(id), 1)) // 0 is the content of a hole in the file
 	result := make(chan claimResult, 1)
 	timeout := time.NewTimer(claimTimeout)
 	defer timeout.Stop()
 	select {
-	case c.pending <- pendingClaim{claim, result}:
+	case c.pending <- pendingClaim{submitted, compare, result}:
 	case <-c.closed:
 		return true, os.ErrClosed
 	case <-timeout.C:
@@ -151,7 +190,7 @@
 			return
 		case pending := <-c.pending:
 			c.busySince.Store(int64(time.Since(c.startedAt)))
-			ok, err := c.process(pending.claim)
+			ok, err := c.process(pending)
 			c.busySince.Store(0)
 			pending.result <- claimResult{ok, err}
 		}
@@ -159,12 +198,16 @@
 }
 
 // process writes a claim and compares it with those of the other processes.
-func (c *Claims) process(claim [claimSize]byte) (ok bool, err error) {
-	_, writeErr := c.own.WriteAt(claim[:], c.count%maxClaims*claimSize)
-	c.count++
+func (c *Claims) process(pending pendingClaim) (ok bool, err error) {
+	slot := c.nextSlot()
+	c.written[slot] = pending.claim
+	_, writeErr := c.own.WriteAt(pending.claim[:], int64(slot)*claimSize)
+	if !pending.compare {
+		return true, writeErr
+	}
 	openErr := c.openOthers()
 	for _, other := range c.others {
-		claimed, err := c.contains(other.File, claim)
+		claimed, err := c.contains(other.File, pending.claim)
 		if claimed {
 			return false, nil
 		}
@@ -178,6 +221,23 @@
 	return true, openErr
 }
 
+// nextSlot returns the index in written of the next claim: that of the oldest claim that is not in use, or a new one.
+func (c *Claims) nextSlot() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.written) >= maxClaims {
+		for range c.written {
+			slot := c.next
+			c.next = (c.next + 1) % len(c.written)
+			if c.inUse[c.written[slot]] == 0 {
+				return slot
+			}
+		}
+	}
+	c.written = append(c.written, claim{})
+	return len(c.written) - 1
+}
+
 // openOthers opens the files of further processes, and closes those that no longer count.
 func (c *Claims) openOthers() error {
 	newest, err := c.newestOthers()
@@ -202,7 +262,7 @@
 }
 
 // newestOthers returns the files of the other processes, by path. If there are more than maxOtherFiles, it returns those
-// that were written last: a node that starts again and again leaves many.
+// of the processes that were alive last: a node that starts again and again leaves many.
 func (c *Claims) newestOthers() (map[string]os.FileInfo, error) {
 	paths, err := c.store.ProcessFiles(claimsSuffix)
 	if err != nil {
@@ -220,7 +280,7 @@
 		}
 	}
 	newestFirst := slices.SortedFunc(maps.Keys(infos), func(a, b string) int {
-		return infos[b].ModTime().Compare(infos[a].ModTime())
+		return lastAlive(b, infos[b]).Compare(lastAlive(a, infos[a]))
 	})
 	for _, path := range newestFirst[min(len(newestFirst), maxOtherFiles):] {
 		delete(infos, path)
@@ -228,14 +288,33 @@
 	return infos, err
 }
 
+// lastAlive returns when the process that has a file of claims is known to have been alive. A live process writes its
+// liveness file all the time, also if it gets no requests.
+func lastAlive(path string, claims os.FileInfo) time.Time {
+	at := claims.ModTime()
+	if liveness, err := os.Stat(livenessPathOf(path)); err == nil && liveness.ModTime().After(at) {
+		at = liveness.ModTime()
+	}
+	return at
+}
+
+// livenessPathOf returns the path of the liveness file of the process that has a file of claims.
+func livenessPathOf(path string) string {
+	return strings.TrimSuffix(path, claimsSuffix) + livenessSuffix
+}
+
 // contains reports whether a file has a claim.
-func (c *Claims) contains(file *os.File, claim [claimSize]byte) (bool, error) {
+func (c *Claims) contains(file *os.File, wanted claim) (bool, error) {
 	n, err := file.ReadAt(c.buffer, 0)
-	if errors.Is(err, io.EOF) { // the file has fewer claims than the buffer
+	for err == nil { // the file may have more claims than the buffer
+		c.buffer = make([]byte, 2*len(c.buffer))
+		n, err = file.ReadAt(c.buffer, 0)
+	}
+	if errors.Is(err, io.EOF) {
 		err = nil
 	}
 	for claims := c.buffer[:n]; len(claims) >= claimSize; claims = claims[claimSize:] {
-		if bytes.Equal(claims[:claimSize], claim[:]) {
+		if bytes.Equal(claims[:claimSize], wanted[:]) {
 			return true, nil
 		}
 	}
--- a/internal/sharedstate/claims_test.go
+++ b/internal/sharedstate/claims_test.go
@@ -65,21 +65,38 @@
 	}
 }
 
-// The file of a process is bounded. The last ids count.
+// The file of a process is bounded. The last ids count, and those in use.
 func TestClaim_TooMany_OldestForgotten(t *testing.T) {
 	own, other := openClaims(t)
-	for i := range maxClaims + 1 {
+	expectClaim(t, own, "in use", true)
+	for i := range maxClaims {
 		expectClaim(t, own, fmt.Sprint("id", i), true)
+		own.Release(fmt.Sprint("id", i))
 	}
 	info, err := os.Stat(own.own.Name())
 	if err != nil || info.Size() != maxClaims*claimSize {
 		t.Errorf("file of %d bytes, error %v; want %d", info.Size(), err, maxClaims*claimSize)
 	}
+	expectClaim(t, other, "in use", false)
 	expectClaim(t, other, "id1", false)
-	expectClaim(t, other, fmt.Sprint("id", maxClaims), false)
+	expectClaim(t, other, fmt.Sprint("id", maxClaims-1), false)
 	expectClaim(t, other, "id0", true)
 }
 
+// Ids in use count however many there are, also those of connections that were taken over.
+func TestClaim_ManyInUse_AllRefused(t *testing.T) {
+	own, other := openClaims(t)
+	const inUse = maxClaims + 500
+	for i := range inUse {
+		if err := own.Hold(fmt.Sprint("id", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range inUse {
+		expectClaim(t, other, fmt.Sprint("id", i), false)
+	}
+}
+
 // The claims of an ended process count for a while, and are removed at the next start after that.
 func TestOpenClaims_OutdatedFile_Removed(t *testing.T) {
 	own, other := openClaims(t)
