--- a/internal/sharedstate/claims_test.go
+++ b/internal/sharedstate/claims_test.go
@@ -198,3 +198,28 @@
 	expectClaim(t, successor, "b", true)
 	expectClaim(t, own, "b", false)
 }
+
+// A live process that gets no requests must count, also if processes that have ended wrote their claims later.
+func TestClaim_IdleProcess_Compared(t *testing.T) {
+	own, other := openClaims(t)
+	expectClaim(t, other, "a", true)
+	path := other.own.Name()
+	longAgo := time.Now().Add(-time.Hour)
+	if err := os.Chtimes(path, longAgo, longAgo); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(livenessPathOf(path), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range maxOtherFiles {
+		ended := own.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
+		if err := os.WriteFile(ended, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		recently := time.Now().Add(-time.Minute)
+		if err := os.Chtimes(ended, recently, recently); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectClaim(t, own, "a", false)
+}
