MigrateAll migrates at once and has due times of its own, no tick

Cause: MigrateAll set a deadline only, and the loop's next tick carried it out. Ticks are 250 ms apart; between the request (0.6 s after SIGTERM) and the reset of what is left (0.83 s) there may be none.

Change: the loop migrates the first batch when it gets the request, and the next batches when they are due. Batches are spread evenly over the time left, 10 ms apart or more. A connection that is established or inherited later is migrated at once. The log says when a migration begins.

Test: TestMigrateAll_DeadlinePassed_MigratedWithoutTick (0 of 20 clients migrated by the code before) and TestMigrateAll_EstablishedLater_Migrated fail before and pass now. TestMigrateAll_ManyClients_SpreadOverTime drove the batches by ticks; it now drives them by their due times, checks each batch and the total, and does so for five sizes.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,7 +23,7 @@
 		n.watch()
 	}
 	for {
-		timer.Reset(min(n.timers.wait(n.now()), n.timeToShutdown(time.Now()), n.timeToListRequest()))
+		timer.Reset(n.timeToNextTask(time.Now()))
 		select {
 		case <-ctx.Done():
 			return nil
@@ -37,7 +37,13 @@
 	}
 }
 
-// runDueTasks runs all tasks that are due: the balancer's timers, a list request of the cold start, and the shutdown.
+// timeToNextTask returns the time until the earliest task of runDueTasks is due.
+func (n *Node) timeToNextTask(now time.Time) time.Duration {
+	return min(n.timers.wait(n.clockTime(now)), n.timeToShutdown(now), n.timeToMigration(now), n.timeToListRequest())
+}
+
+// runDueTasks runs all tasks that are due: the balancer's timers, a list request of the cold start, a batch of
+// migrations, and the shutdown.
 func (n *Node) runDueTasks() {
 	now := n.now() // read once, so that a timer set by one of these tasks waits for the next iteration
 	for token, due := n.timers.next(now); due; token, due = n.timers.next(now) {
@@ -46,6 +52,9 @@
 	if n.timeToListRequest() == 0 {
 		n.recoverPanics(n.requestListIfDue)
 	}
+	if n.timeToMigration(time.Now()) == 0 {
+		n.recoverPanics(func() { n.migrateNextBatch(time.Now()) })
+	}
 	if n.timeToShutdown(time.Now()) == 0 {
 		n.recoverPanics(n.answerInFlight)
 	}
@@ -79,7 +88,7 @@
 			n.handlePingResult(host, e.took)
 		}
 	case migrateAllRequested:
-		n.migrateAllBy = e.deadline
+		n.startMigration(e.deadline, time.Now())
 	case shutdownRequested:
 		n.shutdownAt = e.deadline
 	case drainRequested:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,12 +54,12 @@
 	slowMessageThreshold time.Duration
 	timers               timers
 	tickCount            int
-	migrateAllBy         time.Time // deadline for migrating all clients; zero without MigrateAll
 
-	// The node's drain, host overrides, the cold start and the shutdown; each has a file of its own.
+	// The node's drain, host overrides, the cold start, migrations and the shutdown; each has a file of its own.
 	drainState
 	overrideState
 	coldStartState
+	migrationState
 	shutdownState
 
 	// Counters.
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -171,6 +171,9 @@
 	r.established = true
 	n.established.Add(1)
 	n.notifyBalancer(balancer.Inherited{Arrival: arrival, Server: id})
+	if n.isMigratingAll() {
+		n.migrate(r)
+	}
 }
 
 func (n *Node) handleEstablished(e connectionEstablished, r *request) {
@@ -179,7 +182,8 @@
 	n.markAnswered(r)
 	n.pingNewHost(r.host)
 	n.notifyBalancer(balancer.Established{ID: e.id, Attempt: e.attempt, Server: r.host.id, Took: e.took})
-	if n.shutDown && !n.settings.PassThrough { // established just before the shutdown could cancel the attempt
+	establishedAtShutdown := n.shutDown && !n.settings.PassThrough // just before its attempt could be cancelled
+	if establishedAtShutdown || n.isMigratingAll() {
 		n.migrate(r)
 	}
 }
--- a/internal/node/tick.go
+++ b/internal/node/tick.go
@@ -23,7 +23,8 @@
 	unresponsiveAfter = 750 * time.Millisecond
 )
 
-// handleTick does the periodic work: it counts hosts, restarts a broken watch, migrates clients, and measures latency.
+// handleTick does the periodic work: it counts hosts, restarts a broken watch, migrates the clients of unresponsive
+// hosts, and measures latency.
 func (n *Node) handleTick(now time.Time) {
 	n.tickCount++
 	n.observeClock(now)
@@ -32,7 +33,6 @@
 		n.countHosts()
 	}
 	n.checkWatch(now)
-	n.migrateNextBatch(now)
 	if measure {
 		n.resetRepresentatives()
 	}
