The end of a process migrates established connections and resets none that can be moved

What callers saw: a connection that is established when proxy.Shutdown runs was reset without MOVE. That met a connection whose event the loop had not handled yet, one whose client had MOVE but had not closed, and one that was handed off while its goroutine here was not done, which the reset took from the successor.

Cause: conn.shutDown aborted each connection with a host. It also looked for the host outside the lock under which it is set, so that a connection established in between was not ended at all (by reading; no test forces this order).

Test: TestShutdown_EstablishedAndNotMigrated_Migrated, TestShutdown_MigratedClientStillOpen_NotReset and TestShutdown_HandedOffConnection_NotReset fail before (each with "connection reset by peer") and pass now. The package passes under the race detector.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -58,6 +58,11 @@
 func (c *conn) Migrate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.migrateLocked()
+}
+
+// migrateLocked is Migrate for a caller that holds mu.
+func (c *conn) migrateLocked() {
 	if c.host != nil && !c.migrating.Swap(true) {
 		_ = c.client.SetWriteDeadline(time.Now().Add(lingerTimeout))
 		_ = c.host.SetReadDeadline(netio.Expired)
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -55,6 +55,7 @@
 
 	// The hand-off to another process of the node.
 	quiescing      *quiescence // set while the connection is quiesced for a hand-off, otherwise nil
+	handedOff      bool        // another process has the connection, so its sockets must not be reset here
 	failedHandOffs int         // how often the connection was quiesced without being handed off
 
 	// Records for the final answer and for the invariant checks.
@@ -148,6 +149,11 @@
 func (c *conn) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.abortLocked()
+}
+
+// abortLocked is abort for a caller that holds mu.
+func (c *conn) abortLocked() {
 	c.aborted = true
 	c.disconnect()
 	if c.cancelAttempt != nil {
@@ -159,21 +165,23 @@
 	reset(c.client)
 }
 
-// shutDown begins to end the connection. The caller holds the proxy's mutex. An established connection is reset, or
-// left open with passThrough. A connection that is being resumed at its current host is reset too. Any other connection
-// is ended by its own goroutine, because only that goroutine knows what was read: serveRequest answers an admitted
-// client, and readOpening first reads what has been received of an opening line.
+// shutDown begins to end the connection. The caller holds the proxy's mutex. An established connection is migrated, or
+// left open with passThrough. A connection that is being resumed at its current host is reset. Any other connection is
+// ended by its own goroutine, because only that goroutine knows what was read: serveRequest answers an admitted client,
+// and readOpening first reads what has been received of an opening line.
 func (c *conn) shutDown(passThrough bool) {
-	established := c.isEstablished()
-	if established && passThrough {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.host != nil:
+		if !passThrough {
+			c.migrateLocked()
+		}
 		return
-	}
-	if established || c.admitted && c.opening.CurrentHost != "" {
-		c.abort()
+	case c.admitted && c.opening.CurrentHost != "":
+		c.abortLocked()
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.shuttingDown = true
 	if c.cancelAttempt != nil {
 		c.cancelAttempt()
--- a/internal/proxy/quiesce.go
+++ b/internal/proxy/quiesce.go
@@ -147,6 +147,7 @@
 	q.handedOff = handedOff
 	q.conn.quiescing = nil
 	if handedOff {
+		q.conn.handedOff = true
 		q.conn.readingStopped = true // prevents another quiesce while the connection ends here
 	} else {
 		q.conn.failedHandOffs++
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -200,6 +202,53 @@
 	}
 }
 
+// A connection may be established just before the shutdown, so that the node has not migrated it. The proxy must migrate
+// it, because a reset without MOVE loses the connection.
+func TestShutdown_EstablishedAndNotMigrated_Migrated(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true, echoHost(t, nil))
+	_, in := r.open(t, openRequest)
+	expectLine(t, in, establishedLine)
+	expectLine(t, in, "LOAD 3\r\n")
+	r.proxy.Shutdown(false)
+	if all, err := io.ReadAll(in); string(all) != wire.Migration || err != nil {
+		t.Errorf("client read %q, error %v; want a migration and EOF", all, err)
+	}
+}
+
+// A client that has been sent MOVE, and has not closed its connection when the node shuts down, must be able to read the
+// line: its connection must not be reset.
+func TestShutdown_MigratedClientStillOpen_NotReset(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true, echoHost(t, nil))
+	_, in := r.open(t, openRequest)
+	expectLine(t, in, establishedLine)
+	r.node.MigrateAll(time.Now())
+	netiotest.Eventually(t, "the connection to the host has ended", func() bool { return r.node.EstablishedConnections() == 0 })
+	r.proxy.Shutdown(false)
+	if all, err := io.ReadAll(in); !strings.HasSuffix(string(all), wire.Migration) || err != nil {
+		t.Errorf("client read %q, error %v; want a migration and EOF", all, err)
+	}
+}
+
+// A connection that was handed off belongs to another process. If its goroutine has not ended when the node shuts down,
+// its sockets must not be reset.
+func TestShutdown_HandedOffConnection_NotReset(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true)
+	client, accepted := connect(t)
+	host, hostConn := connect(t)
+	c := r.proxy.newConn(accepted, time.Now())
+	c.host, c.handedOff = hostConn, true
+	r.proxy.mu.Lock()
+	r.proxy.conns[c] = struct{}{}
+	r.proxy.mu.Unlock()
+	r.proxy.Shutdown(false)
+	for name, remote := range map[string]*net.TCPConn{"client": client, "host": host} {
+		_ = remote.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := remote.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: error %v, want an open connection", name, err)
+		}
+	}
+}
+
 func TestShutdown_ConnectionsInEachState_NoGoroutineLeaked(t *testing.T) {
 	before := goleak.IgnoreCurrent()
 	var hosts sync.WaitGroup
