Shutdown schedule: clients are moved before the end with every deadline, also under 0.1 s

What callers saw: with a longest deadline of 0.1 s or less, each planned restart of a node at which connections end reset all of its connections without MOVE.

Cause: the shutdown ends 0.5 s plus the longest deadline after SIGTERM, but asked for the migration 0.6 s after it in any case. With such deadlines the end came first.

--- a/cmd/onyxstream/node_options_test.go
+++ b/cmd/onyxstream/node_options_test.go
@@ -19,6 +19,7 @@
 	socketLimit        int    // the configured limit on sockets
 	addr               string // address of listener, if listener is set
 	latencyObjectiveMS int    // latency objective of a connection setup
+	deadlineMS         int    // deadline of the class
 	answerSlackMS      int    // how long after the deadline a final answer still counts as on time
 	descriptorLimit    int    // ulimit -n of the process, 0 for the inherited limit
 	initialList        string // the endpoint list in the configuration, as JSON
@@ -31,10 +32,10 @@
 	faults             *faultinject.Options
 }
 
-// settingsTemplate is the JSON text of a node's settings. Its verbs are the latency objective in milliseconds, the
-// mode, and the answer slack in milliseconds.
+// settingsTemplate is the JSON text of a node's settings. Its verbs are the latency objective and the deadline in
+// milliseconds, the mode, and the answer slack in milliseconds.
 const settingsTemplate = `{"index":0,"groupSize":1,"zone":0,"zones":["a"],"registryMode":"ask",
-	"lanes":[{"name":"chat","aim":%d,"deadline":3000,"semantics":"safe","group":"all","worth":1,"window":5000}],
+	"lanes":[{"name":"chat","aim":%d,"deadline":%d,"semantics":"safe","group":"all","worth":1,"window":5000}],
 	"customers":[{"name":"acme"}],"domain":{"mode":"%s","groups":false,"messageAim":[60000]},
 	"limits":{"cancel":true,"connectTimeout":1000,"maxAttempts":4,"maxRetryAfter":2000,"probes":false,"retryAfter":true},
 	"rules":{"answerSlack":%d,"askWithin":2000,"coldShare":0.3,"fallMultiple":4,"overloadFor":1000,
@@ -43,6 +44,7 @@
 const (
 	defaultSocketLimit        = 256
 	defaultLatencyObjectiveMS = 2000 // high, so that a host that is slow on a busy machine is not given up for another
+	defaultDeadlineMS         = 3000
 	defaultAnswerSlackMS      = 16
 	defaultMemoryMB           = 256
 )
@@ -52,6 +54,7 @@
 	t.Helper()
 	settings := fmt.Sprintf(settingsTemplate,
 		cmp.Or(options.latencyObjectiveMS, defaultLatencyObjectiveMS),
+		cmp.Or(options.deadlineMS, defaultDeadlineMS),
 		options.mode,
 		cmp.Or(options.answerSlackMS, defaultAnswerSlackMS))
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",`+
--- a/internal/lifecycle/shutdown_test.go
+++ b/internal/lifecycle/shutdown_test.go
@@ -17,8 +17,10 @@
 		node:        n,
 		proxy:       proxy.New(proxy.Config{MaxDescriptors: 256}, zap.NewNop()),
 		passThrough: true,
-		startedAt:   time.Now(),
-		deadline:    time.Now().Add(20 * time.Second),
+		schedule: shutdownSchedule{
+			frontNoticed: time.Now().Add(preStopDelay),
+			deadline:     time.Now().Add(20 * time.Second),
+		},
 	}
 	shutdown.successorReady = func() bool { calls++; return calls == 5 }
 	if !shutdown.drain() || calls != 5 {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -182,8 +182,7 @@
 	n.markAnswered(r)
 	n.pingNewHost(r.host)
 	n.notifyBalancer(balancer.Established{ID: e.id, Attempt: e.attempt, Server: r.host.id, Took: e.took})
-	establishedAtShutdown := n.shutDown && !n.settings.PassThrough // just before its attempt could be cancelled
-	if establishedAtShutdown || n.isMigratingAll() {
+	if n.isMigratingAll() {
 		n.migrate(r)
 	}
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -39,7 +39,8 @@
 }
 
 // answerInFlight gives each request in flight its final answer: the balancer rejects or fails the requests that wait,
-// and each attempt without a response is cancelled. Established connections are not affected.
+// and each attempt without a response is cancelled. Clients that are still established are migrated, except in
+// pass-through mode. So is a client whose host responds just before its attempt is cancelled.
 func (n *Node) answerInFlight() {
 	n.shutDown = true
 	n.log.Info("graceful shutdown deadline reached, answering in-flight requests",
@@ -57,6 +58,10 @@
 		}
 		n.failIfWaiting(id, r)
 	}
+	if !n.settings.PassThrough {
+		now := time.Now()
+		n.startMigration(now, now)
+	}
 }
 
 // shutdownRetryAfter returns the Retry-After for requests that are rejected at the shutdown: the shortest setup latency
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// At the shutdown the clients that are still established must be migrated, because the process resets them when it
+// exits. In pass-through mode they stay: another node takes them over.
+func TestShutdown_Established_MigratedUnlessPassThrough(t *testing.T) {
+	for _, passThrough := range []bool{false, true} {
+		n, _, _ := newTestNode(t, endpoint("s1", wire.Serving))
+		n.settings.PassThrough = passThrough
+		before := establish(t, n, "before")
+		racing := arrive(t, n, "racing")
+		n.handle(shutdownRequested{deadline: time.Now()})
+		n.answerInFlight()
+		n.handle(establishedEvent("racing", 0)) // the host has responded before its attempt could be cancelled
+		migrated := countMigrations([]*fakeConn{before, racing})
+		if passThrough && migrated != 0 || !passThrough && migrated != 2 {
+			t.Errorf("pass-through %v: %d of 2 clients migrated; calls %q and %q",
+				passThrough, migrated, before.recorded(), racing.recorded())
+		}
+	}
+}
+
 // The time left for a request that arrives during a graceful shutdown must end at the shutdown deadline, so that the
 // node can try another host in time.
 func TestArrival_NodeShuttingDown_TimeLeftIsBounded(t *testing.T) {
