After a hand-off, connections that are established later are migrated, too

Cause: requests that the old process paces are brought up until 3.3 s after SIGTERM; the hand-off ends at 2.5 s. handOff asked for the migration of the rest only if something was established at that moment.

Evidence, the log of the old process: "connections handed off" with handed_off 75, established 0, at 2.51 s; no request for a migration; "graceful shutdown deadline reached" with in_flight 0; "stopped" with established 4, and 4 resets.

Change: handOff asks for the migration in any case; the event loop migrates whatever is established after it. The hand-off goes on while any client is left that may still be established, also one whose opening line is not complete. One count of the clients that are left (hasClients) takes the place of three.

The rows with a killed successor check the old process by its log only: connections of the killed process are reset.

--- a/cmd/onyxstream/shutdown_deadlines_test.go
+++ b/cmd/onyxstream/shutdown_deadlines_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,3 +223,107 @@
 		}
 	}
 }
+
+// successorScript is what a successor does during the shutdown of its predecessor.
+type successorScript struct {
+	start   func(t *testing.T, options nodeOptions, discoveryAddr string) *nodeProcess
+	midway  func(t *testing.T, successor *nodeProcess) // called when half of the clients have arrived; may be nil
+	atEnd   func(t *testing.T, successor *nodeProcess) // called when the predecessor has exited; may be nil
+	crashes bool                                       // the successor's own connections are reset
+}
+
+var successorScripts = map[string]successorScript{
+	"accepts all": {start: startTestSuccessor},
+	"accepts some": {
+		start: func(t *testing.T, options nodeOptions, discoveryAddr string) *nodeProcess {
+			options.descriptorLimit = 128 // fewer than the connections need
+			return startSuccessor(t, options, discoveryAddr)
+		},
+	},
+	"accepts none": {
+		start: func(t *testing.T, options nodeOptions, discoveryAddr string) *nodeProcess {
+			blockOffers(t, onlyLivenessFile(t, options))
+			return startSuccessor(t, options, discoveryAddr)
+		},
+	},
+	"is terminated half way": {
+		start:  startTestSuccessor,
+		midway: func(t *testing.T, successor *nodeProcess) { successor.terminate(t) },
+		atEnd:  func(t *testing.T, successor *nodeProcess) { successor.waitForCleanExit(t) },
+	},
+	"hangs half way": {
+		start:  startTestSuccessor,
+		midway: func(t *testing.T, successor *nodeProcess) { successor.sendSignal(t, syscall.SIGSTOP) },
+		atEnd:  func(t *testing.T, successor *nodeProcess) { successor.sendSignal(t, syscall.SIGCONT) },
+	},
+	"is killed half way": {
+		start:   startTestSuccessor,
+		midway:  func(t *testing.T, successor *nodeProcess) { successor.sendSignal(t, syscall.SIGKILL) },
+		crashes: true,
+	},
+}
+
+func startTestSuccessor(t *testing.T, options nodeOptions, discoveryAddr string) *nodeProcess {
+	t.Helper()
+	return startSuccessor(t, options, discoveryAddr)
+}
+
+// An upgrade reset the connections that were established after the hand-off had ended.
+func TestHotRestart_EveryDeadlineAndSetupTime_NoConnectionCutOff(t *testing.T) {
+	t.Parallel()
+	for name, script := range successorScripts {
+		for _, deadline := range shutdownDeadlines {
+			t.Run(fmt.Sprintf("%s/%v", name, deadline), func(t *testing.T) {
+				t.Parallel()
+				upgradeUnderLoad(t, script, deadline)
+			})
+		}
+	}
+}
+
+// upgradeUnderLoad stops a node's process beside its successor while clients connect.
+func upgradeUnderLoad(t *testing.T, script successorScript, deadline time.Duration) {
+	t.Helper()
+	options := timedHostOptions(t, deadline)
+	options.env = []string{"TMPDIR=" + t.TempDir()}
+	options.addr, options.listener = listeningSocket(t)
+	discovery := newFakeDiscovery(t, options.initialList)
+	node := startNode(t, options, discovery.addr)
+	clients := newShutdownClients(node.addr, deadline)
+	clients.establish(t, 40) // more connections than fit in one offer
+	successor := script.start(t, options, discovery.addr)
+	clients.arriveUntil(time.Now().Add(frontNotice / 2))
+	node.terminate(t)
+	clients.arriveUntil(time.Now().Add(frontNotice / 2))
+	if script.midway != nil {
+		script.midway(t, successor)
+	}
+	clients.arriveUntil(time.Now().Add(frontNotice / 2))
+	node.waitForCleanExit(t)
+	if script.atEnd != nil {
+		script.atEnd(t, successor)
+	}
+	if strings.Contains(node.log.String(), "reset without migration") {
+		t.Error("the predecessor has reset established connections")
+	}
+	clients.finish(t)
+	if !script.crashes {
+		clients.expectNoFaults(t)
+	}
+}
+
+// onlyLivenessFile returns the liveness file of the only process that shares the options' directory.
+func onlyLivenessFile(t *testing.T, options nodeOptions) string {
+	t.Helper()
+	entries, err := os.ReadDir(options.sharedDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range entries {
+		if strings.HasSuffix(entry.Name(), ".alive") {
+			return options.sharedDir() + "/" + entry.Name()
+		}
+	}
+	t.Fatal("no liveness file found")
+	return ""
+}
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -82,27 +82,21 @@
 }
 
 // hasClients reports whether there are established connections, requests in flight, or clients whose opening line has
-// not been read yet.
+// not been read yet. A client is counted by the proxy before the node knows its request, and by the node until it knows
+// that its connection is established.
 func (s *gracefulShutdown) hasClients() bool {
-	established := s.node.EstablishedConnections()
+	known := s.node.InFlightRequests() + s.node.EstablishedConnections()
 	pending := s.proxy.PendingRequests() + s.proxy.PendingOpenings()
-	return established+int64(pending) > 0
+	return known+int64(pending) > 0
 }
 
 // handOff passes the established connections to the successor and waits until no client is left, or until the deadline.
 // Requests in flight get their final answer from this process, and are handed off if they become established. A
-// connection that can't be handed off is migrated.
+// connection that can't be handed off is migrated, also if it is established after the hand-off has ended.
 func (s *gracefulShutdown) handOff(coordinator *multiprocess.Coordinator) {
-	coordinator.HandOff(s.schedule.handOffUntil)
-	if s.node.EstablishedConnections() > 0 {
-		s.node.MigrateAll(s.schedule.handOffMigrateBy)
+	coordinator.HandOff(s.schedule.handOffUntil, s.hasClients)
+	s.node.MigrateAll(s.schedule.handOffMigrateBy)
+	for time.Now().Before(s.schedule.deadline) && s.hasClients() {
+		time.Sleep(min(drainPollInterval, time.Until(s.schedule.deadline)))
 	}
-	for time.Now().Before(s.schedule.deadline) && s.hasUnfinishedClients() {
-		time.Sleep(drainPollInterval)
-	}
-}
-
-func (s *gracefulShutdown) hasUnfinishedClients() bool {
-	unfinished := s.node.InFlightRequests() + s.node.EstablishedConnections()
-	return unfinished+int64(s.proxy.PendingOpenings()) > 0
 }
--- a/internal/multiprocess/handoff.go
+++ b/internal/multiprocess/handoff.go
@@ -23,11 +23,13 @@
 	handOffRetryInterval = 20 * time.Millisecond
 )
 
-// HandOff offers the established connections to the successor, until none is left or the deadline has passed.
-func (c *Coordinator) HandOff(deadline time.Time) {
+// HandOff offers the established connections to the successor until the deadline, or until hasClients reports that no
+// client is left whose connection is established or may still become established. Connections that are left after it
+// were not accepted by the successor.
+func (c *Coordinator) HandOff(deadline time.Time, hasClients func() bool) {
 	handedOff, failedOffers := 0, 0
 	baselines := c.pingBaselines()
-	for time.Now().Before(deadline) && c.hasConnections() && c.SuccessorReady() {
+	for time.Now().Before(deadline) && hasClients() && c.SuccessorReady() {
 		connections, release := c.proxy.Quiesce(hotrestart.MaxOffered)
 		if len(connections) == 0 {
 			time.Sleep(handOffRetryInterval) // requests in flight may still become established
@@ -58,10 +60,6 @@
 		zap.Int("handed_off", handedOff), zap.Int64("established", c.node.EstablishedConnections()))
 }
 
-func (c *Coordinator) hasConnections() bool {
-	return c.node.EstablishedConnections()+c.node.InFlightRequests() > 0
-}
-
 func (c *Coordinator) pingBaselines() (baselines []hotrestart.PingBaseline) {
 	for _, baseline := range c.node.PingBaselines() {
 		baselines = append(baselines, hotrestart.PingBaseline{
