A client that is migrated within a long line of its host gets the line and then MOVE

A line of over 8 KiB goes to the client in pieces. A client that was migrated between two pieces was reset without MOVE.

Cause: relay.closeClient writes MOVE only at a line boundary, and resets the client elsewhere. Nothing waited for the boundary.

Change: a relay whose client is being migrated within a line goes on to the end of that line, for at most lingerTimeout.

Test: TestMigrate_MidLine_MoveAfterLineEnd fails before ("connection reset by peer") and passes now, three times under the race detector.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 	start   time.Time
 	// clientBlocked is true if the last write to the client failed.
 	clientBlocked bool
+	// awaitsLineEnd is true if the client is being migrated, and has received only a part of the host's line.
+	awaitsLineEnd bool
 }
 
 // relay copies from the host to the client until one side ends, and then ends the other side in the same way. buffered
@@ -49,6 +52,10 @@
 			err = writeErr
 			continue
 		}
+		if r.awaitsLineEnd && r.lines.AtLineBoundary() {
+			err = os.ErrDeadlineExceeded
+			break
+		}
 		err = r.readHost()
 		if err == nil || !netio.IsDeadlineExceeded(err) {
 			continue
@@ -59,11 +66,26 @@
 			return
 		case keepReading:
 			err = nil
+		case stopClosing:
+			if r.beginAwaitLineEnd() {
+				err = nil
+			}
 		}
 	}
 	r.close(err)
 }
 
+// beginAwaitLineEnd gives the host lingerTimeout to complete its line if the client is being migrated in the middle of
+// it, because MOVE can't be written there. It reports false if there is no such line or the time is over.
+func (r *relay) beginAwaitLineEnd() bool {
+	if r.awaitsLineEnd || r.lines.AtLineBoundary() || !r.migrating.Load() {
+		return false
+	}
+	r.awaitsLineEnd = true
+	_ = r.host.SetReadDeadline(time.Now().Add(lingerTimeout))
+	return true
+}
+
 // writeLines writes the complete lines in the buffer to the client, and records the responses and load reports among
 // them. It reports false if there was nothing to write.
 func (r *relay) writeLines() (written bool, err error) {
--- a/internal/proxy/teardown_test.go
+++ b/internal/proxy/teardown_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -115,3 +116,32 @@
 		}
 	}
 }
+
+// A client that is migrated in the middle of a long line of its host must get the rest of the line, and then MOVE: a
+// reset without MOVE loses the connection. A host that does not complete its line must not delay the end for long.
+func TestMigrate_MidLine_MoveAfterLineEnd(t *testing.T) {
+	for _, c := range []struct{ name, rest, want string }{
+		{"line completed", "end\r\nnext", "end\r\n" + wire.Migration},
+		{"line not completed", "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			texts := make(chan string, 1)
+			defer close(texts)
+			r := startNode(t, zap.NewNop(), true, echoHost(t, texts))
+			_, in := r.open(t, openRequest)
+			expectLine(t, in, establishedLine)
+			expectLine(t, in, "LOAD 3\r\n")
+			texts <- strings.Repeat("x", wire.BufferSize)
+			if _, err := io.ReadFull(in, make([]byte, wire.BufferSize)); err != nil {
+				t.Fatal(err)
+			}
+			r.node.MigrateAll(time.Now())
+			netiotest.Eventually(t, "the client is being migrated", r.onlyConn(t).migrating.Load)
+			texts <- c.rest
+			all, err := io.ReadAll(in)
+			if string(all) != c.want || (err != nil) != (c.want == "") {
+				t.Errorf("client read %q, error %v; want %q", all, err, c.want)
+			}
+		})
+	}
+}
