An adopted connection whose request id is in use is migrated, not reset

A connection that was handed off to a process in which its id is in use, or whose event loop has ended, was reset on both sides without MOVE.

Cause: serveAdopted aborted such a connection, while Adopt migrates each other one that it can't resume.

Change: both migrate it.

Test: TestAdopt_DuplicateID_Migrated fails before ("connection reset by peer") and passes now, three times under the race detector.

--- a/internal/proxy/adopt.go
+++ b/internal/proxy/adopt.go
@@ -21,12 +21,17 @@
 func (p *Proxy) Adopt(handedOff EstablishedConn) error {
 	err := p.adopt(handedOff)
 	if err != nil {
-		closeWithLine(handedOff.Client, wire.Migration)
-		_ = handedOff.HostConn.Close()
+		handedOff.migrate()
 	}
 	return err
 }
 
+// migrate tells the client to migrate and closes both sides, without waiting for the client.
+func (e EstablishedConn) migrate() {
+	closeWithLine(e.Client, wire.Migration)
+	_ = e.HostConn.Close()
+}
+
 func (p *Proxy) adopt(handedOff EstablishedConn) error {
 	kind, opening, err := wire.ParseOpening([]byte(handedOff.Line))
 	if err != nil || kind != wire.OpeningRequest || len(handedOff.Partial) > wire.BufferSize/2 {
@@ -50,7 +55,8 @@
 	return nil
 }
 
-// serveAdopted handles an adopted connection to its end.
+// serveAdopted handles an adopted connection to its end. If its request id is in use or the node's event loop has
+// ended, the client is migrated.
 func (c *conn) serveAdopted(handedOff EstablishedConn) {
 	start := time.Now()
 	inherited := false // the node knows of the connection and must be notified of its end
@@ -66,7 +72,7 @@
 	}()
 	if _, ok := c.proxy.node.ResumeConnection(&c.opening, c); !ok {
 		c.proxy.log.Info(duplicateIDMessage)
-		c.abort()
+		handedOff.migrate()
 		return
 	}
 	inherited = true
--- a/internal/proxy/quiesce_test.go
+++ b/internal/proxy/quiesce_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// A connection whose request id is in use in the process that adopts it must be migrated. A reset without MOVE would lose
+// it, although its own client has done nothing wrong.
+func TestAdopt_DuplicateID_Migrated(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true, echoHost(t, nil))
+	_, in := r.open(t, openRequest)
+	expectLine(t, in, establishedLine)
+	client, accepted := connect(t)
+	host, hostConn := connect(t)
+	err := r.proxy.Adopt(EstablishedConn{Line: openRequest, Host: "h0", Client: accepted, HostConn: hostConn})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all, err := io.ReadAll(client); string(all) != wire.Migration || err != nil {
+		t.Errorf("client read %q, error %v; want a migration", all, err)
+	}
+	if all, err := io.ReadAll(host); len(all) > 0 || err != nil {
+		t.Errorf("host read %q, error %v; want a close without data", all, err)
+	}
+}
+
 func TestAdopt_AfterShutdown_Migrated(t *testing.T) {
 	r := startNode(t, zap.NewNop(), true)
 	r.stop()
