A process in pass-through mode waits until the clients that it migrates have MOVE

Where packets pass through, an upgrade migrates the connections that the successor has not accepted. The loop counts each as ended just before MOVE is written, and Shutdown did not wait for established connections in this mode, so that the process could end in between.

Change: Shutdown waits for connections that are being migrated, in this mode too, for as long as for clients without an answer.

Test: TestShutdown_PassThroughMigrating_Awaited fails before (0 connections awaited).

--- a/cmd/onyxstream/hot_restart_test.go
+++ b/cmd/onyxstream/hot_restart_test.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// onlyLivenessFile returns the liveness file of the only process that shares the options' directory.
+func onlyLivenessFile(t *testing.T, options nodeOptions) string {
+	t.Helper()
+	files, err := filepath.Glob(options.sharedDir() + "/*.alive")
+	if err != nil || len(files) != 1 {
+		t.Fatalf("found liveness files %v, error %v; want one file", files, err)
+	}
+	return files[0]
+}
+
 // If a hand-off fails, the predecessor must migrate its clients before it exits.
 func TestHandoff_OffersBlocked_ClientsMigrated(t *testing.T) {
 	t.Parallel()
@@ -161,11 +171,7 @@
 	options, discovery := inheritedSocketOptions(t, host)
 	node := startNode(t, options, discovery.addr)
 	clients := node.establish(t, 5, "UP")
-	livenessFiles, err := filepath.Glob(options.sharedDir() + "/*.alive")
-	if err != nil || len(livenessFiles) != 1 {
-		t.Fatalf("found liveness files %v, error %v; want one file", livenessFiles, err)
-	}
-	blockOffers(t, livenessFiles[0])
+	blockOffers(t, onlyLivenessFile(t, options))
 	startSuccessor(t, options, discovery.addr)
 	node.terminate(t)
 	for _, client := range clients {
--- a/cmd/onyxstream/shutdown_deadlines_test.go
+++ b/cmd/onyxstream/shutdown_deadlines_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -103,7 +102,8 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(waitLimit))
-	_, _ = fmt.Fprintf(conn, "OPEN id%d %d c=chat,t=acme,d=%d\r\n", nextID(), setup.Milliseconds(), s.deadline.Milliseconds())
+	deadlineMS := s.deadline.Milliseconds()
+	_, _ = fmt.Fprintf(conn, "OPEN id%d %d c=chat,t=acme,d=%d\r\n", nextID(), setup.Milliseconds(), deadlineMS)
 	in := bufio.NewReader(conn)
 	answer, err := in.ReadString('\n')
 	switch {
@@ -275,16 +275,31 @@
 		for _, deadline := range shutdownDeadlines {
 			t.Run(fmt.Sprintf("%s/%v", name, deadline), func(t *testing.T) {
 				t.Parallel()
-				upgradeUnderLoad(t, script, deadline)
+				upgradeUnderLoad(t, script, "proxy", deadline)
+			})
+		}
+	}
+}
+
+// In pass-through mode, too, a connection that the successor has not accepted must be migrated: there is no other node
+// that takes it over, because the successor serves under the same address.
+func TestHotRestart_PassMode_NoConnectionCutOff(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"accepts all", "accepts some", "accepts none"} {
+		for _, deadline := range []time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%s/%v", name, deadline), func(t *testing.T) {
+				t.Parallel()
+				upgradeUnderLoad(t, successorScripts[name], "pass", deadline)
 			})
 		}
 	}
 }
 
 // upgradeUnderLoad stops a node's process beside its successor while clients connect.
-func upgradeUnderLoad(t *testing.T, script successorScript, deadline time.Duration) {
+func upgradeUnderLoad(t *testing.T, script successorScript, mode string, deadline time.Duration) {
 	t.Helper()
 	options := timedHostOptions(t, deadline)
+	options.mode = mode
 	options.env = []string{"TMPDIR=" + t.TempDir()}
 	options.addr, options.listener = listeningSocket(t)
 	discovery := newFakeDiscovery(t, options.initialList)
@@ -311,19 +326,3 @@
 		clients.expectNoFaults(t)
 	}
 }
-
-// onlyLivenessFile returns the liveness file of the only process that shares the options' directory.
-func onlyLivenessFile(t *testing.T, options nodeOptions) string {
-	t.Helper()
-	entries, err := os.ReadDir(options.sharedDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, entry := range entries {
-		if strings.HasSuffix(entry.Name(), ".alive") {
-			return options.sharedDir() + "/" + entry.Name()
-		}
-	}
-	t.Fatal("no liveness file found")
-	return ""
-}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -84,12 +84,13 @@
 	p.pings.Close()
 }
 
-// unfinished returns the connections that have not ended, except those that Shutdown leaves open.
+// unfinished returns the connections that have not ended, except those that Shutdown leaves open. With passThrough too, a
+// client that is being migrated gets MOVE before the process ends.
 func (p *Proxy) unfinished(passThrough bool) (conns []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if !passThrough || !c.isEstablished() {
+		if !passThrough || !c.isEstablished() || c.migrating.Load() {
 			conns = append(conns, c)
 		}
 	}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -222,13 +222,36 @@
 	_, in := r.open(t, openRequest)
 	expectLine(t, in, establishedLine)
 	r.node.MigrateAll(time.Now())
-	netiotest.Eventually(t, "the connection to the host has ended", func() bool { return r.node.EstablishedConnections() == 0 })
+	netiotest.Eventually(t, "the connection to the host has ended", func() bool {
+		return r.node.EstablishedConnections() == 0
+	})
 	r.proxy.Shutdown(false)
 	if all, err := io.ReadAll(in); !strings.HasSuffix(string(all), wire.Migration) || err != nil {
 		t.Errorf("client read %q, error %v; want a migration and EOF", all, err)
 	}
 }
 
+// In pass-through mode the node migrates the clients that a successor has not accepted. It counts a connection as ended just
+// before the client gets MOVE, so Shutdown must wait for the client, and not only for the count.
+func TestShutdown_PassThroughMigrating_Awaited(t *testing.T) {
+	r := startNode(t, zap.NewNop(), true)
+	_, accepted := connect(t)
+	_, hostConn := connect(t)
+	c := r.proxy.newConn(accepted, time.Now())
+	c.host = hostConn
+	r.proxy.mu.Lock()
+	r.proxy.conns[c] = struct{}{}
+	r.proxy.mu.Unlock()
+	if got := len(r.proxy.unfinished(true)); got != 0 {
+		t.Errorf("%d connections awaited, want none: the established connection stays", got)
+	}
+	c.Migrate()
+	if got := len(r.proxy.unfinished(true)); got != 1 {
+		t.Errorf("%d connections awaited after the migration has begun, want 1", got)
+	}
+	r.proxy.remove(c)
+}
+
 // A connection that was handed off belongs to another process. If its goroutine has not ended when the node shuts down,
 // its sockets must not be reset.
 func TestShutdown_HandedOffConnection_NotReset(t *testing.T) {
