--- a/cmd/onyxstream/shutdown_test.go
+++ b/cmd/onyxstream/shutdown_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -101,3 +103,23 @@
 		t.Errorf("node exited with %v, want status 0", err)
 	}
 }
+
+// A shared directory in which a call blocks holds up the steps of a graceful shutdown. The established connections must be
+// migrated all the same, before the platform kills the process.
+func TestShutdown_SharedFolderBlocks_ConnectionsMigrated(t *testing.T) {
+	t.Parallel()
+	options, discovery := inheritedSocketOptions(t, newFakeHost(t, "h1"))
+	options.mode, options.deadlineMS = "proxy", 300
+	node := startNode(t, options, discovery.addr)
+	clients := node.establish(t, 10, "UP ")
+	stateFile := strings.TrimSuffix(onlyLivenessFile(t, options), fmt.Sprintf("-%d.alive", node.cmd.Process.Pid)) + ".words"
+	if err := syscall.Mkfifo(stateFile, 0o600); err != nil { // its open blocks until there is a writer
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond) // the process reads the file every 100 ms
+	node.terminate(t)
+	for _, client := range clients {
+		client.expectLine("MOVE\r\n")
+		client.expectClose(false)
+	}
+}
