sharedstate: the claims of other processes have a file and a type of their own

No behaviour changes. The package's tests are as they were, but for the new place of two fields, and pass twice under the race detector.

--- a/internal/sharedstate/claims.go
+++ b/internal/sharedstate/claims.go
@@ -1,15 +1,9 @@
 package sharedstate
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
-	"io"
-	"io/fs"
-	"maps"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,11 +19,6 @@
 	// maxClaims is how many request ids a process's file holds, unless more are in use. A process that sees 100 requests
 	// per second overwrites a claim 40 s after its request has ended.
 	maxClaims = 4096
-	// maxClaimsAge is how long the claims of an ended process count.
-	maxClaimsAge = 5 * time.Minute
-	// maxOtherFiles is the largest number of files of other processes that are compared: those of the other process of a
-	// hot restart, and of the last ones that ended.
-	maxOtherFiles = 4
 	// claimTimeout is how long a request waits for its claim.
 	claimTimeout = 100 * time.Millisecond
 )
@@ -52,12 +41,10 @@
 	inUse map[claim]int // number of connections by claim
 
 	// Used by the goroutine only.
-	store   *Store
 	own     *os.File
 	written []claim // content of own
 	next    int     // index in written of the claim that is overwritten next, unless it is in use
-	others  map[string]claimsFile
-	buffer  []byte // for the content of one file
+	others  *otherClaims
 }
 
 // claim is a hash of a request id, as it is written to a file.
@@ -68,12 +55,6 @@
 	return c
 }
 
-// claimsFile is an open file of another process.
-type claimsFile struct {
-	*os.File
-	info os.FileInfo // when it was opened; tells whether its path has another file now
-}
-
 // pendingClaim is a claim that waits to be processed.
 type pendingClaim struct {
 	claim   claim
@@ -91,11 +72,9 @@
 		pending:   make(chan pendingClaim),
 		closed:    make(chan struct{}),
 		startedAt: time.Now(),
-		store:     store,
 		own:       own,
 		inUse:     map[claim]int{},
-		others:    map[string]claimsFile{},
-		buffer:    make([]byte, maxClaims*claimSize),
+		others:    newOtherClaims(store, own.Name()),
 	}
 	go c.run()
 	return c
@@ -116,15 +95,6 @@
 	return newClaims(s, own), err
 }
 
-// isOutdated reports whether a file of claims belongs to a process that ended more than maxClaimsAge ago.
-func isOutdated(path string) bool {
-	if _, err := os.Stat(livenessPathOf(path)); err == nil {
-		return false
-	}
-	info, err := os.Stat(path)
-	return err == nil && time.Since(info.ModTime()) > maxClaimsAge
-}
-
 // Claim claims a request id for this process. It reports false if another process has claimed the id. An error means
 // that the claim could not be written or not be compared with those of all other processes. Claim returns after
 // claimTimeout at the latest, and while the shared folder blocks it returns ErrClaimsBlocked at once. The id is in use
@@ -205,20 +175,14 @@
 	if !pending.compare {
 		return true, writeErr
 	}
-	openErr := c.openOthers()
-	for _, other := range c.others {
-		claimed, err := c.contains(other.File, pending.claim)
-		if claimed {
-			return false, nil
-		}
-		if err != nil {
-			openErr = err
-		}
-	}
-	if writeErr != nil {
+	claimed, err := c.others.contain(pending.claim)
+	switch {
+	case claimed:
+		return false, nil
+	case writeErr != nil:
 		return true, writeErr
 	}
-	return true, openErr
+	return true, err
 }
 
 // nextSlot returns the index in written of the next claim: that of the oldest claim that is not in use, or a new one.
@@ -238,95 +202,10 @@
 	return len(c.written) - 1
 }
 
-// openOthers opens the files of further processes, and closes those that no longer count.
-func (c *Claims) openOthers() error {
-	newest, err := c.newestOthers()
-	for path, file := range c.others {
-		info, counts := newest[path]
-		if counts && os.SameFile(info, file.info) {
-			delete(newest, path)
-			continue
-		}
-		_ = file.Close()
-		delete(c.others, path)
-	}
-	for path, info := range newest {
-		file, openErr := os.Open(path)
-		if openErr != nil {
-			err = openErr
-			continue
-		}
-		c.others[path] = claimsFile{file, info}
-	}
-	return err
-}
-
-// newestOthers returns the files of the other processes, by path. If there are more than maxOtherFiles, it returns those
-// of the processes that were alive last: a node that starts again and again leaves many.
-func (c *Claims) newestOthers() (map[string]os.FileInfo, error) {
-	paths, err := c.store.ProcessFiles(claimsSuffix)
-	if err != nil {
-		return nil, err
-	}
-	infos := map[string]os.FileInfo{}
-	for _, path := range paths {
-		info, statErr := os.Stat(path)
-		switch {
-		case path == c.own.Name(), errors.Is(statErr, fs.ErrNotExist):
-		case statErr != nil:
-			err = statErr
-		default:
-			infos[path] = info
-		}
-	}
-	newestFirst := slices.SortedFunc(maps.Keys(infos), func(a, b string) int {
-		return lastAlive(b, infos[b]).Compare(lastAlive(a, infos[a]))
-	})
-	for _, path := range newestFirst[min(len(newestFirst), maxOtherFiles):] {
-		delete(infos, path)
-	}
-	return infos, err
-}
-
-// lastAlive returns when the process that has a file of claims is known to have been alive. A live process writes its
-// liveness file all the time, also if it gets no requests.
-func lastAlive(path string, claims os.FileInfo) time.Time {
-	at := claims.ModTime()
-	if liveness, err := os.Stat(livenessPathOf(path)); err == nil && liveness.ModTime().After(at) {
-		at = liveness.ModTime()
-	}
-	return at
-}
-
-// livenessPathOf returns the path of the liveness file of the process that has a file of claims.
-func livenessPathOf(path string) string {
-	return strings.TrimSuffix(path, claimsSuffix) + livenessSuffix
-}
-
-// contains reports whether a file has a claim.
-func (c *Claims) contains(file *os.File, wanted claim) (bool, error) {
-	n, err := file.ReadAt(c.buffer, 0)
-	for err == nil { // the file may have more claims than the buffer
-		c.buffer = make([]byte, 2*len(c.buffer))
-		n, err = file.ReadAt(c.buffer, 0)
-	}
-	if errors.Is(err, io.EOF) {
-		err = nil
-	}
-	for claims := c.buffer[:n]; len(claims) >= claimSize; claims = claims[claimSize:] {
-		if bytes.Equal(claims[:claimSize], wanted[:]) {
-			return true, nil
-		}
-	}
-	return false, err
-}
-
 // Close ends the use of the files. The claims of this process stay for its successor. Close must be called only once.
 func (c *Claims) Close() { close(c.closed) }
 
 func (c *Claims) closeFiles() {
 	_ = c.own.Close()
-	for _, file := range c.others {
-		_ = file.Close()
-	}
+	c.others.close()
 }
--- a/internal/sharedstate/claims_test.go
+++ b/internal/sharedstate/claims_test.go
@@ -103,7 +103,7 @@
 	expectClaim(t, other, "a", true)
 	path := other.own.Name()
 	openAgain := func() {
-		again, err := own.store.OpenClaims()
+		again, err := own.others.store.OpenClaims()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -126,7 +126,7 @@
 // While a call to the shared folder blocks, ids must be granted without waiting, and be compared again after that.
 func TestClaim_FolderBlocks_GrantedAtOnce(t *testing.T) {
 	own, other := openClaims(t)
-	path := own.store.ProcessFile(os.Getpid()+2, claimsSuffix)
+	path := own.others.store.ProcessFile(os.Getpid()+2, claimsSuffix)
 	if err := syscall.Mkfifo(path, 0o600); err != nil { // a read-only open blocks until there is a writer
 		t.Fatal(err)
 	}
@@ -163,7 +163,7 @@
 	own, other := openClaims(t)
 	const ended = 30
 	for i := range ended {
-		path := own.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
+		path := own.others.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
 		if err := os.WriteFile(path, nil, 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -175,7 +175,7 @@
 	expectClaim(t, other, "a", true)
 	expectClaim(t, own, "a", false)
 	expectClaim(t, own, "b", true)
-	if n := len(own.others); n > maxOtherFiles {
+	if n := len(own.others.files); n > maxOtherFiles {
 		t.Errorf("%d files of other processes are open, want at most %d", n, maxOtherFiles)
 	}
 }
@@ -193,7 +193,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	successor := newClaims(own.store, file)
+	successor := newClaims(own.others.store, file)
 	t.Cleanup(successor.Close)
 	expectClaim(t, successor, "b", true)
 	expectClaim(t, own, "b", false)
@@ -212,7 +212,7 @@
 		t.Fatal(err)
 	}
 	for i := range maxOtherFiles {
-		ended := own.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
+		ended := own.others.store.ProcessFile(os.Getpid()+2+i, claimsSuffix)
 		if err := os.WriteFile(ended, nil, 0o600); err != nil {
 			t.Fatal(err)
 		}
